--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -25,6 +25,8 @@
     11: required list<i64> versions
     12: required i32 slots
     13: required i32 connections
+    // Name of this run of the server, for the check that a request reached the intended one.
+    14: optional string identity
 }
 
 struct BackendChange {
@@ -189,6 +191,45 @@
     3: required bool empty
 }
 
+// From a front or a control process to a control process of an installation whose processes find one another. Answered
+// when something newer than the stated numbers is known, or after the stated wait.
+struct Subscription {
+    1: required string instance
+    2: required i64 incarnation
+    // A front tells callers' address and data centre; both are empty for a control process.
+    3: required bool front
+    // True while the front takes requests of new callers.
+    4: required bool accepting
+    5: required string callerAddress
+    6: required string dataCentre
+    // Revision of the control view that the sender holds; 0 for none.
+    7: required i64 revision
+    // What the sender has of the receiver's registry changes.
+    8: required i64 registryIncarnation
+    9: required i64 registryThrough
+    10: required i64 waitMs
+    11: required list<CrashEvidenceMessage> evidence
+    // Pieces of evidence that the sender has had from the receiver.
+    12: required i64 evidenceThrough
+    // Of the log member, if the sender is a control process that has one.
+    13: optional i64 identity
+}
+
+struct SubscriptionReply {
+    1: required i64 incarnation
+    // The view, if it is newer than the subscription's.
+    2: optional binary view
+    3: optional RegistryUpdateMessage registry
+    // Peer addresses of the control processes that the sender knows.
+    4: required list<string> controls
+    5: required i32 liveFronts
+    6: required list<CrashEvidenceMessage> evidence
+    7: required i64 evidenceThrough
+    // Identities of the log's members; empty while the sender knows no log.
+    8: required list<i64> members
+    9: required string leader
+}
+
 struct DrainRequest {
     1: required string instance
 }
@@ -217,4 +258,6 @@
     17: optional IdentityReply identityReply
     18: optional DrainRequest drainRequest
     19: optional Empty acknowledgement
+    20: optional Subscription subscription
+    21: optional SubscriptionReply subscriptionReply
 }
--- a/src/galenawell/configuration/configurationhistory.cpp
+++ b/src/galenawell/configuration/configurationhistory.cpp
@@ -1,6 +1,7 @@
 #include "galenawell/configuration/configurationhistory.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace Galenawell {
@@ -10,7 +11,41 @@
 {
 }
 
+ConfigurationHistory::ConfigurationHistory(ConfigurationNumbering numberingRule)
+    : rule(numberingRule)
+{
+}
+
+void ConfigurationHistory::setNumbering(ConfigurationNumbering numberingRule)
+{
+    this->rule = numberingRule;
+}
+
+ConfigurationNumbering ConfigurationHistory::numbering() const
+{
+    return this->rule;
+}
+
 ProposalOutcome ConfigurationHistory::propose(const ConfigurationProposal &proposal)
+{
+    // In the order of ConfigurationNumbering.
+    static constexpr std::array<Rule, 2> rules{&ConfigurationHistory::proposeConsecutive, &ConfigurationHistory::proposeHighest};
+    return (this->*rules.at(static_cast<std::size_t>(this->rule)))(proposal);
+}
+
+ProposalOutcome ConfigurationHistory::proposeHighest(const ConfigurationProposal &proposal)
+{
+    if (proposal.number <= this->newest) {
+        return {
+            .verdict = ProposalVerdict::AlreadyAccepted, .newestNumber = this->newest, .acceptedDigest = this->digestOf(proposal.number)};
+    }
+    this->newest = proposal.number;
+    this->content = proposal.content;
+    this->digests.assign(1, proposal.digest);
+    return {.verdict = ProposalVerdict::Accepted, .newestNumber = this->newest, .acceptedDigest = proposal.digest};
+}
+
+ProposalOutcome ConfigurationHistory::proposeConsecutive(const ConfigurationProposal &proposal)
 {
     if (proposal.number != 0 && proposal.number == this->newest + 1) {
         this->newest = proposal.number;
--- a/src/galenawell/configuration/configurationhistory.h
+++ b/src/galenawell/configuration/configurationhistory.h
@@ -36,14 +36,22 @@
     friend bool operator==(const ProposalOutcome &, const ProposalOutcome &) = default;
 };
 
+enum class ConfigurationNumbering : std::uint8_t {
+    // Only the number after the newest is accepted.
+    Consecutive,
+    // Any number above the newest is accepted; a lower one is acknowledged without effect.
+    Highest,
+};
+
 class ConfigurationHistory
 {
 public:
     ConfigurationHistory() = default;
     // Remembers the given number of configurations, at least one; smaller than the default in tests only.
     explicit ConfigurationHistory(std::uint64_t rememberedNumbers);
+    explicit ConfigurationHistory(ConfigurationNumbering numberingRule);
 
-    // Accepts only the number after the newest. Deterministic: every replica gives the same outcome.
+    // Deterministic: every replica gives the same outcome.
     ProposalOutcome propose(const ConfigurationProposal &proposal);
 
     std::uint64_t newestNumber() const;
@@ -60,11 +68,20 @@
                                         std::string newestContent,
                                         std::deque<std::string> digests,
                                         std::uint64_t rememberedNumbers = rememberedConfigurations);
+    // All members of a log use the same rule.
+    void setNumbering(ConfigurationNumbering numberingRule);
+    ConfigurationNumbering numbering() const;
 
 private:
+    using Rule = ProposalOutcome (ConfigurationHistory::*)(const ConfigurationProposal &proposal);
+
+    ProposalOutcome proposeConsecutive(const ConfigurationProposal &proposal);
+    ProposalOutcome proposeHighest(const ConfigurationProposal &proposal);
     bool isRemembered(std::uint64_t number) const;
 
-    // Digests of consecutive numbers; the last belongs to newest. Never more than the limit.
+    ConfigurationNumbering rule = ConfigurationNumbering::Consecutive;
+
+    // Digests of consecutive numbers; the last belongs to newest. Never more than the limit; with uneven numbers only one.
     std::deque<std::string> digests;
     std::uint64_t newest = 0;
     std::uint64_t limit = rememberedConfigurations;
--- /dev/null
+++ b/src/galenawell/control/controlmember.cpp
@@ -0,0 +1,716 @@
+#include "galenawell/control/controlmember.h"
+
+#include "galenawell/consensus/membershipplan.h"
+#include "galenawell/consensus/raftcodec.h"
+#include "galenawell/consensus/voterplan.h"
+#include "galenawell/core/endpoint.h"
+#include "galenawell/front/registrycodec.h"
+#include "galenawell/telemetry/log.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Galenawell {
+
+namespace {
+
+const Log logger("control");
+
+constexpr std::chrono::milliseconds raftCallTimeout{1000};
+constexpr std::chrono::milliseconds identityTimeout{300};
+constexpr std::chrono::milliseconds bootstrapPause{100};
+constexpr std::chrono::milliseconds joinPause{150};
+constexpr std::chrono::milliseconds refreshInterval{150};
+// Below the second after which operators turn to another control process.
+constexpr std::chrono::milliseconds operatorPatience{850};
+constexpr std::chrono::milliseconds operatorRetryPause{40};
+constexpr std::chrono::milliseconds forwardTimeout{500};
+// A replicated record of a server outlives a few renewals, since crashes are noticed sooner by the fronts' own requests.
+constexpr int leaseHeartbeats = 3;
+// Control processes that were heard within this time are named to others.
+constexpr std::chrono::milliseconds listedFor{10000};
+// Part of the data folder's file system that entries of the log leave free for snapshots and hard state.
+constexpr std::size_t reservedBytes = std::size_t(16) * 1024 * 1024;
+constexpr std::size_t segmentBytes = std::size_t(1024) * 1024;
+constexpr std::size_t snapshotBytes = std::size_t(4) * 1024 * 1024;
+constexpr std::size_t retainedBytes = std::size_t(2) * 1024 * 1024;
+
+std::shared_ptr<const ControlView> viewOf(const ControlState &state)
+{
+    return state.view();
+}
+
+Incarnation incarnationNow()
+{
+    return static_cast<Incarnation>(wallNow().time_since_epoch().count());
+}
+
+Wire::ProposeReply failureReply(const Error &error)
+{
+    Wire::ProposeReply reply;
+    switch (error.kind) {
+    case ErrorKind::NotLeader:
+        reply.status = Wire::ProposeStatus::NotLeader;
+        break;
+    case ErrorKind::StorageFull:
+        reply.status = Wire::ProposeStatus::StorageFull;
+        break;
+    default:
+        reply.status = Wire::ProposeStatus::NoQuorum;
+        break;
+    }
+    return reply;
+}
+
+} // namespace
+
+ControlMember::ControlMember(Asio::any_io_executor ioExecutor,
+                             NodeSettings nodeSettings,
+                             CheckConfiguration check,
+                             std::shared_ptr<Metrics> sharedMetrics,
+                             std::shared_ptr<EventLog> eventLog)
+    : executor(std::move(ioExecutor))
+    , settings(std::move(nodeSettings))
+    , checkConfiguration(std::move(check))
+    , metrics(std::move(sharedMetrics))
+    , events(std::move(eventLog))
+    , traffic(std::make_shared<PeerTraffic>())
+    , incarnation(incarnationNow())
+    , registry(RegistryOptions{.self = this->settings.peerName(),
+                               .incarnation = this->incarnation,
+                               .lease = this->settings.heartbeatInterval * leaseHeartbeats})
+    , fronts(FrontDirectoryOptions{})
+{
+}
+
+Status ControlMember::start()
+{
+    BOOST_OUTCOME_TRY(LogStorage storage,
+                      LogStorage::open(LogStorageOptions{
+                          .folder = this->settings.dataFolder, .segmentBytes = segmentBytes, .reserveBytes = reservedBytes}));
+    const auto weak = this->weak_from_this();
+    ReplicatedLogOptions options{.instance = this->settings.peerName(),
+                                 .snapshotBytes = snapshotBytes,
+                                 .numbering = ConfigurationNumbering::Highest,
+                                 .onApplied = [weak, ioExecutor = this->executor] {
+                                     Asio::post(ioExecutor, [weak] {
+                                         if (const auto self = weak.lock()) {
+                                             self->refreshRequested = true;
+                                             self->notifyChange();
+                                         }
+                                     });
+                                 }};
+    options.raft.retainedBytes = retainedBytes;
+    options.quorumTimeout = operatorPatience;
+    this->log = std::make_shared<ReplicatedLog>(
+        options, std::move(storage), [weak, ioExecutor = this->executor](const InstanceName &instance, const RaftMessage &message) {
+            Asio::post(ioExecutor, [weak, instance, message] {
+                if (const auto self = weak.lock()) {
+                    self->sendRaft(instance, message);
+                }
+            });
+        });
+    const auto self = this->shared_from_this();
+    this->subscriptions = std::make_shared<ControlSubscriptions>(
+        this->executor,
+        ControlSubscriptionsOptions{.self = this->settings.peerName(), .peerKey = this->settings.peerKey},
+        this->traffic,
+        [self](const InstanceName &control) { return self->subscriptionFor(control); },
+        [self](const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint askedAt) {
+            self->handleReply(control, reply, askedAt);
+        });
+    this->peerServer = std::make_shared<PeerServer>(
+        this->executor,
+        this->settings.peerAddress,
+        openIdentity(this->settings.peerName(), this->settings.peerKey),
+        [self](InstanceName peer, Wire::Envelope request) { return self->handleCall(std::move(peer), std::move(request)); },
+        this->traffic);
+    this->peerServer->start();
+    this->subscriptions->addSeeds(this->settings.seedNames());
+    Asio::co_spawn(
+        this->executor, [self] { return self->run(); }, Asio::detached);
+    return boost::outcome_v2::success();
+}
+
+Asio::awaitable<void> ControlMember::shutdown()
+{
+    this->stopping = true;
+    this->log->stop();
+    this->subscriptions->stop();
+    this->peerServer->stop();
+    this->notifyChange();
+    co_return;
+}
+
+void ControlMember::reload(const NodeSettings &newSettings)
+{
+    this->settings.seeds = newSettings.seeds;
+    this->subscriptions->addSeeds(this->settings.seedNames());
+}
+
+Asio::awaitable<void> ControlMember::pause(std::chrono::milliseconds duration)
+{
+    Asio::steady_timer timer(this->executor, duration);
+    co_await timer.async_wait(awaitResult);
+}
+
+void ControlMember::notifyChange()
+{
+    for (Asio::steady_timer *timer : this->waiting) {
+        timer->cancel();
+    }
+}
+
+Asio::awaitable<void> ControlMember::waitForChange(TimePoint until)
+{
+    Asio::steady_timer timer(this->executor, until);
+    this->waiting.insert(&timer);
+    co_await timer.async_wait(awaitResult);
+    this->waiting.erase(&timer);
+}
+
+bool ControlMember::leads() const
+{
+    return this->started && this->status.role == RaftRole::Leader;
+}
+
+bool ControlMember::failed() const
+{
+    return this->log != nullptr && this->log->hasFailed();
+}
+
+// ---- Start
+
+Asio::awaitable<std::vector<BootstrapReport>> ControlMember::askForIdentities()
+{
+    std::vector<BootstrapReport> reports;
+    for (const InstanceName &name : this->settings.seedNames()) {
+        const std::shared_ptr<PeerLink> link = this->subscriptions->link(name);
+        if (link == nullptr) {
+            continue;
+        }
+        Wire::Envelope request;
+        Wire::IdentityRequest identityRequest;
+        identityRequest.instance = this->settings.peerName();
+        request.__set_identityRequest(identityRequest);
+        const Result<Wire::Envelope> reply = co_await link->call(std::move(request), identityTimeout);
+        if (reply && reply.value().__isset.identityReply) {
+            const Wire::IdentityReply &identity = reply.value().identityReply;
+            reports.push_back(
+                BootstrapReport{.instance = name, .identity = static_cast<MemberId>(identity.identity), .hasHistory = !identity.empty});
+        }
+    }
+    co_return reports;
+}
+
+Asio::awaitable<Result<BootstrapPlan>> ControlMember::waitForPlan()
+{
+    BootstrapOptions options{.self = this->settings.peerName(),
+                             .newInstallation = this->settings.foundInstallation && this->settings.isSeed(),
+                             .initialVoters = {}};
+    for (const NodeSettings::Endpoint &seed : this->settings.seeds) {
+        options.initialVoters.push_back(toString(seed));
+    }
+    std::ranges::sort(options.initialVoters);
+    const BootstrapReport own{
+        .instance = this->settings.peerName(), .identity = this->log->identity(), .hasHistory = this->log->hasHistory()};
+    for (;;) {
+        std::vector<BootstrapReport> reports;
+        if (options.newInstallation && !own.hasHistory) {
+            reports = co_await this->askForIdentities();
+        }
+        Result<BootstrapPlan> plan = planBootstrap(options, own, reports);
+        if (!plan || plan.value().step != BootstrapStep::Wait || this->stopping) {
+            co_return plan;
+        }
+        co_await this->pause(bootstrapPause);
+    }
+}
+
+Asio::awaitable<void> ControlMember::run()
+{
+    const Result<BootstrapPlan> plan = co_await this->waitForPlan();
+    if (this->stopping) {
+        co_return;
+    }
+    if (!plan) {
+        logger.error("this member can't start: " + plan.error().message());
+        co_return;
+    }
+    std::optional<Membership> first;
+    if (plan.value().step == BootstrapStep::Found) {
+        first = plan.value().membership;
+    }
+    if (Status begun = this->log->start(first); !begun) {
+        logger.error("this member can't start: " + begun.error().message());
+        co_return;
+    }
+    this->started = true;
+    const auto self = this->shared_from_this();
+    Asio::co_spawn(
+        this->executor, [self] { return self->joinLoop(); }, Asio::detached);
+    co_await this->refreshLoop();
+}
+
+Asio::awaitable<void> ControlMember::refreshLoop()
+{
+    bool led = false;
+    while (!this->stopping) {
+        this->refreshRequested = false;
+        this->status = co_await this->log->status();
+        View applied = co_await this->log->inspect(viewOf);
+        const bool newer = this->view == nullptr || this->view->revision != applied->revision;
+        this->view = std::move(applied);
+        const TimePoint now = MonotonicClock::now();
+        const bool registryChanged = this->registry.expire(now);
+        this->fronts.expire(now);
+        for (const Member &member : this->status.membership.members) {
+            this->subscriptions->add(member.instance);
+        }
+        if (newer) {
+            logger.info("configuration " + std::to_string(this->view->configurationNumber) + " is applied");
+        }
+        if (newer || registryChanged) {
+            this->notifyChange();
+        }
+        if (led != this->leads()) {
+            led = this->leads();
+            this->leaderSince = now;
+            logger.info(std::string(led ? "leads" : "no longer leads") + " the log in term " + std::to_string(this->status.term));
+        }
+        this->metrics->set(GaugeName::IsLeader, led ? 1 : 0);
+        this->metrics->set(GaugeName::CommitIndex, static_cast<double>(this->status.commitIndex));
+        this->metrics->set(GaugeName::LogBytes, static_cast<double>(this->status.bytesOnDisk));
+        this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(this->view->configurationNumber));
+        if (led) {
+            co_await this->planVoters();
+        }
+        const TimePoint next = MonotonicClock::now() + refreshInterval;
+        while (!this->refreshRequested && !this->stopping && MonotonicClock::now() < next) {
+            co_await this->waitForChange(next);
+        }
+    }
+}
+
+// ---- Members of the log
+
+Asio::awaitable<void> ControlMember::planVoters()
+{
+    // Followers don't hear one another, so silence counts from the start of this leadership at the earliest.
+    const std::chrono::milliseconds sinceStart = toMilliseconds(MonotonicClock::now() - this->leaderSince);
+    std::map<MemberId, MemberProgress> progress;
+    for (const Member &member : this->status.membership.members) {
+        const auto heard = this->status.silence.find(member.id);
+        const std::chrono::milliseconds silence = heard == this->status.silence.end() ? sinceStart : std::min(heard->second, sinceStart);
+        progress[member.id]
+            = MemberProgress{.caughtUp = this->status.matchIndexes.at(member.id) >= this->status.commitIndex, .silence = silence};
+    }
+    // Room for one loss more than tolerated: while a member is replaced, another may be lost.
+    const VoterPlanOptions options{.leader = this->status.identity, .wantedVoters = 2 * this->settings.toleratedLosses + 3};
+    std::optional<Membership> next = nextVoterStep(this->status.membership, progress, options);
+    if (!next) {
+        co_return;
+    }
+    const std::size_t voters = voterCount(*next);
+    const Result<void> proposed = co_await this->log->proposeMembership(std::move(*next));
+    if (proposed) {
+        this->refreshRequested = true;
+        logger.info("the members of the log changed; it has " + std::to_string(voters) + " voters");
+    } else if (proposed.error().kind != ErrorKind::MembershipBusy) {
+        logger.warn("a change of the log's members failed: " + proposed.error().message());
+    }
+}
+
+Asio::awaitable<void> ControlMember::joinLoop()
+{
+    while (!this->stopping) {
+        co_await this->pause(joinPause);
+        const MemberId self = this->log->identity();
+        const bool listed = std::ranges::find(this->statedMembers, self) != this->statedMembers.end();
+        if (listed || this->statedMembers.empty() || this->leads()) {
+            continue;
+        }
+        for (const InstanceName &name : this->subscriptions->known()) {
+            Wire::MemberChangeRequest change;
+            change.action = Wire::MemberAction::AddLearner;
+            change.id = static_cast<std::int64_t>(self);
+            change.instance = this->settings.peerName();
+            Wire::Envelope request;
+            request.__set_memberChangeRequest(change);
+            const std::shared_ptr<PeerLink> link = this->subscriptions->link(name);
+            if (link == nullptr) {
+                continue;
+            }
+            const Result<Wire::Envelope> reply = co_await link->call(std::move(request), forwardTimeout);
+            if (reply && reply.value().__isset.memberChangeReply && reply.value().memberChangeReply.status == Wire::ProposeStatus::Done) {
+                logger.info("joined the log as a learner");
+                this->statedMembers.push_back(self);
+                break;
+            }
+        }
+    }
+}
+
+Asio::awaitable<Wire::MemberChangeReply> ControlMember::handleJoin(Wire::MemberChangeRequest request)
+{
+    Wire::MemberChangeReply reply;
+    const LogStatus now = co_await this->log->status();
+    reply.leader = now.leaderInstance;
+    if (now.role != RaftRole::Leader || request.action != Wire::MemberAction::AddLearner) {
+        reply.status = Wire::ProposeStatus::NotLeader;
+        co_return reply;
+    }
+    Membership next = now.membership;
+    const auto id = static_cast<MemberId>(request.id);
+    if (findMember(next, id) != nullptr) {
+        reply.status = Wire::ProposeStatus::Done;
+        co_return reply;
+    }
+    next.members.push_back(Member{.id = id, .instance = request.instance, .voter = false});
+    const Result<void> changedMembers = co_await this->log->proposeMembership(std::move(next));
+    reply.status = changedMembers ? Wire::ProposeStatus::Done : Wire::ProposeStatus::NoQuorum;
+    if (!changedMembers) {
+        reply.message = changedMembers.error().message();
+    }
+    co_return reply;
+}
+
+void ControlMember::sendRaft(const InstanceName &instance, const RaftMessage &message)
+{
+    if (this->stopping) {
+        return;
+    }
+    this->subscriptions->add(instance);
+    const std::shared_ptr<PeerLink> link = this->subscriptions->link(instance);
+    if (link == nullptr) {
+        return;
+    }
+    auto request = std::make_shared<Wire::Envelope>();
+    request->__set_raftMessage(encodeRaftMessage(message));
+    Asio::co_spawn(
+        this->executor,
+        [link, request]() -> Asio::awaitable<void> {
+            // A lost message is sent again by the log itself.
+            static_cast<void>(co_await link->call(std::move(*request), raftCallTimeout));
+        },
+        Asio::detached);
+}
+
+// ---- Calls of other processes
+
+Wire::IdentityReply ControlMember::identityReply() const
+{
+    Wire::IdentityReply identity;
+    identity.instance = this->settings.peerName();
+    identity.identity = static_cast<std::int64_t>(this->log->identity());
+    identity.empty = !this->log->hasHistory();
+    return identity;
+}
+
+Asio::awaitable<Wire::Envelope> ControlMember::handleCall(InstanceName peer, Wire::Envelope request)
+{
+    Wire::Envelope reply;
+    reply.__set_acknowledgement(Wire::Empty());
+    if (request.__isset.identityRequest) {
+        reply.__set_identityReply(this->identityReply());
+    } else if (request.__isset.subscription) {
+        reply.__set_subscriptionReply(co_await this->handleSubscription(peer, request.subscription));
+    } else if (!this->started) {
+        co_return reply;
+    } else if (request.__isset.raftMessage) {
+        Result<RaftMessage> message = decodeRaftMessage(request.raftMessage);
+        if (message) {
+            this->log->receive(peer, std::move(message.value()));
+        }
+    } else if (request.__isset.proposeRequest) {
+        reply.__set_proposeReply(co_await this->handlePropose(request.proposeRequest));
+    } else if (request.__isset.controlPoll) {
+        reply.__set_controlPollReply(co_await this->handlePoll(request.controlPoll));
+    } else if (request.__isset.memberChangeRequest) {
+        reply.__set_memberChangeReply(co_await this->handleJoin(request.memberChangeRequest));
+    }
+    co_return reply;
+}
+
+bool ControlMember::hasNews(const Wire::Subscription &subscription) const
+{
+    const bool newerView = this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision);
+    const bool sameRun = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
+    return newerView || !sameRun || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
+}
+
+Asio::awaitable<Wire::SubscriptionReply> ControlMember::handleSubscription(InstanceName peer, Wire::Subscription subscription)
+{
+    const TimePoint now = MonotonicClock::now();
+    if (subscription.front) {
+        this->fronts.report(FrontReport{.instance = peer,
+                                        .incarnation = static_cast<Incarnation>(subscription.incarnation),
+                                        .callerAddress = subscription.callerAddress,
+                                        .dataCentre = subscription.dataCentre,
+                                        .accepting = subscription.accepting},
+                            now);
+    } else {
+        this->subscriptions->add(peer);
+    }
+    const TimePoint until = now + std::chrono::milliseconds(subscription.waitMs);
+    while (!this->hasNews(subscription) && MonotonicClock::now() < until && !this->stopping) {
+        co_await this->waitForChange(until);
+    }
+    co_return this->replyTo(subscription);
+}
+
+Wire::SubscriptionReply ControlMember::replyTo(const Wire::Subscription &subscription)
+{
+    Wire::SubscriptionReply reply;
+    reply.incarnation = static_cast<std::int64_t>(this->incarnation);
+    reply.evidenceThrough = 0;
+    if (this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision)) {
+        reply.__set_view(encodeControlView(*this->view));
+    }
+    const bool sameRun = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
+    const std::uint64_t held = sameRun ? static_cast<std::uint64_t>(subscription.registryThrough) : 0;
+    if (held < this->registry.newestChange()) {
+        reply.__set_registry(toMessage(this->registry.updateSince(held)));
+    }
+    const TimePoint now = MonotonicClock::now();
+    reply.controls = this->subscriptions->heardWithin(listedFor, now);
+    for (const Member &member : this->status.membership.members) {
+        reply.members.push_back(static_cast<std::int64_t>(member.id));
+        reply.controls.push_back(member.instance);
+    }
+    reply.liveFronts = static_cast<std::int32_t>(this->fronts.liveCount(now));
+    reply.leader = this->status.leaderInstance;
+    return reply;
+}
+
+Wire::Subscription ControlMember::subscriptionFor(const InstanceName &control)
+{
+    Wire::Subscription subscription;
+    subscription.instance = this->settings.peerName();
+    subscription.incarnation = static_cast<std::int64_t>(this->incarnation);
+    subscription.front = false;
+    subscription.accepting = false;
+    // Control processes get the control state through the log.
+    subscription.revision = std::numeric_limits<std::int64_t>::max();
+    const auto [holderRun, through] = this->registry.latestRunOf(control);
+    subscription.registryIncarnation = static_cast<std::int64_t>(holderRun);
+    subscription.registryThrough = static_cast<std::int64_t>(through);
+    subscription.evidenceThrough = 0;
+    return subscription;
+}
+
+void ControlMember::handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint)
+{
+    const TimePoint now = MonotonicClock::now();
+    const auto run = static_cast<Incarnation>(reply.incarnation);
+    this->registry.heardFrom(control, run, now);
+    if (reply.__isset.registry) {
+        const Result<RegistryUpdate> update = fromMessage(reply.registry, control, run);
+        if (update) {
+            this->registry.applyUpdate(update.value(), now);
+        } else {
+            logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
+        }
+    }
+    // Only the leader's list is certain to be the newest.
+    if (!reply.members.empty() && reply.leader == control) {
+        this->statedMembers.assign(reply.members.begin(), reply.members.end());
+    }
+}
+
+// ---- Configurations
+
+Asio::awaitable<Wire::ProposeReply> ControlMember::handlePropose(Wire::ProposeRequest request)
+{
+    const Result<ControlCommand> command = decodeControlCommand(request.command);
+    const auto *configuration = command ? std::get_if<ProposeConfiguration>(&command.value()) : nullptr;
+    if (configuration == nullptr || !this->checkConfiguration(configuration->proposal.content)) {
+        Wire::ProposeReply reply;
+        reply.status = Wire::ProposeStatus::Malformed;
+        co_return reply;
+    }
+    const Result<AppliedCommand> applied = co_await this->log->propose(request.command);
+    if (!applied) {
+        co_return failureReply(applied.error());
+    }
+    const auto *outcome = std::get_if<ProposalOutcome>(&applied.value().result);
+    if (outcome == nullptr) {
+        co_return failureReply(makeError(ErrorKind::NoQuorum, "the command was replaced by another leader's"));
+    }
+    Wire::ProposeReply reply;
+    reply.status = Wire::ProposeStatus::Done;
+    reply.__set_verdict(static_cast<std::int32_t>(outcome->verdict));
+    reply.__set_newestNumber(static_cast<std::int64_t>(outcome->newestNumber));
+    reply.__set_acceptedDigest(outcome->acceptedDigest);
+    co_return reply;
+}
+
+Asio::awaitable<Result<ProposalOutcome>> ControlMember::proposeOnce(std::string command)
+{
+    Wire::ProposeRequest request;
+    request.command = std::move(command);
+    request.waitForFronts = false;
+    Wire::ProposeReply reply;
+    const std::shared_ptr<PeerLink> leader = this->subscriptions->link(this->status.leaderInstance);
+    if (this->leads()) {
+        reply = co_await this->handlePropose(std::move(request));
+    } else if (leader != nullptr) {
+        Wire::Envelope envelope;
+        envelope.__set_proposeRequest(request);
+        const Result<Wire::Envelope> answer = co_await leader->call(std::move(envelope), operatorPatience);
+        if (!answer || !answer.value().__isset.proposeReply) {
+            co_return makeError(ErrorKind::NoQuorum, "the leader of the log didn't answer");
+        }
+        reply = answer.value().proposeReply;
+    } else {
+        co_return makeError(ErrorKind::NotLeader, "no leader of the log is known");
+    }
+    if (reply.status != Wire::ProposeStatus::Done) {
+        co_return makeError(reply.status == Wire::ProposeStatus::StorageFull ? ErrorKind::StorageFull : ErrorKind::NotLeader,
+                            "the leader of the log didn't accept the command");
+    }
+    co_return ProposalOutcome{.verdict = static_cast<ProposalVerdict>(reply.verdict),
+                              .newestNumber = static_cast<std::uint64_t>(reply.newestNumber),
+                              .acceptedDigest = reply.acceptedDigest};
+}
+
+Asio::awaitable<Result<ProposalOutcome>> ControlMember::propose(ConfigurationProposal proposal)
+{
+    const TimePoint end = MonotonicClock::now() + operatorPatience;
+    const std::string command = encodeControlCommand(ProposeConfiguration{.proposal = std::move(proposal)});
+    for (;;) {
+        Result<ProposalOutcome> outcome = makeError(ErrorKind::NotLeader, "this process hasn't joined the log");
+        if (this->started) {
+            outcome = co_await this->proposeOnce(command);
+        }
+        // Asking again is safe: a number that was accepted is acknowledged without effect.
+        if (outcome || MonotonicClock::now() + operatorRetryPause >= end || this->stopping) {
+            co_return outcome;
+        }
+        co_await this->pause(operatorRetryPause);
+    }
+}
+
+Asio::awaitable<Wire::ControlPollReply> ControlMember::handlePoll(Wire::ControlPoll poll)
+{
+    Wire::ControlPollReply reply;
+    const Result<void> confirmed = co_await this->log->confirmRead();
+    reply.confirmed = confirmed.has_value();
+    reply.leader = this->status.leaderInstance;
+    reply.term = static_cast<std::int64_t>(this->status.term);
+    reply.revision = 0;
+    if (confirmed) {
+        const View newest = co_await this->log->inspect(viewOf);
+        reply.revision = static_cast<std::int64_t>(newest->revision);
+        if (reply.revision > poll.revision) {
+            reply.__set_view(encodeControlView(*newest));
+        }
+    }
+    co_return reply;
+}
+
+Asio::awaitable<Result<ControlMember::View>> ControlMember::readOnce()
+{
+    if (this->leads()) {
+        const Result<void> confirmed = co_await this->log->confirmRead();
+        if (!confirmed) {
+            co_return confirmed.error();
+        }
+        co_return co_await this->log->inspect(viewOf);
+    }
+    const std::shared_ptr<PeerLink> leader = this->subscriptions->link(this->status.leaderInstance);
+    if (leader == nullptr) {
+        co_return makeError(ErrorKind::NotLeader, "no leader of the log is known");
+    }
+    const View own = this->view;
+    Wire::ControlPoll poll;
+    poll.instance = this->settings.peerName();
+    poll.incarnation = static_cast<std::int64_t>(this->incarnation);
+    poll.draining = false;
+    poll.revision = own == nullptr ? 0 : static_cast<std::int64_t>(own->revision);
+    poll.configurationNumber = 0;
+    Wire::Envelope request;
+    request.__set_controlPoll(poll);
+    const Result<Wire::Envelope> reply = co_await leader->call(std::move(request), forwardTimeout);
+    if (!reply || !reply.value().__isset.controlPollReply || !reply.value().controlPollReply.confirmed) {
+        co_return makeError(ErrorKind::NotLeader, "the leader of the log didn't confirm the read");
+    }
+    const Wire::ControlPollReply &confirmed = reply.value().controlPollReply;
+    if (!confirmed.__isset.view) {
+        // A revision below the own one would mean that the leader's state is behind, which a confirmed read excludes.
+        if (own == nullptr || confirmed.revision != static_cast<std::int64_t>(own->revision)) {
+            co_return makeError(ErrorKind::NotLeader, "the confirmed revision isn't known here");
+        }
+        co_return own;
+    }
+    Result<ControlView> newest = decodeControlView(confirmed.view);
+    if (!newest) {
+        co_return newest.error();
+    }
+    co_return std::make_shared<const ControlView>(std::move(newest.value()));
+}
+
+Asio::awaitable<Result<ControlMember::View>> ControlMember::newestView()
+{
+    const TimePoint end = MonotonicClock::now() + operatorPatience;
+    for (;;) {
+        Result<View> read = makeError(ErrorKind::NotLeader, "this process hasn't joined the log");
+        if (this->started) {
+            read = co_await this->readOnce();
+        }
+        if (read || MonotonicClock::now() + operatorRetryPause >= end || this->stopping) {
+            co_return read;
+        }
+        co_await this->pause(operatorRetryPause);
+    }
+}
+
+// ---- Backend servers and callers
+
+Status ControlMember::announce(const BackendRecord &record)
+{
+    this->metrics->count(CounterName::Announcements);
+    const std::uint64_t before = this->registry.newestChange();
+    const Result<bool> announced = this->registry.announce(record, MonotonicClock::now());
+    if (!announced) {
+        return announced.error();
+    }
+    if (this->registry.newestChange() != before) {
+        this->events->write(EventKind::State,
+                            Event("backend_server")
+                                .text("service", record.key.service)
+                                .text("address", record.key.address)
+                                .text("identity", record.identity)
+                                .text("state", toString(record.state))
+                                .number("sequence", static_cast<std::int64_t>(record.sequence)));
+        this->notifyChange();
+    }
+    return boost::outcome_v2::success();
+}
+
+bool ControlMember::retire(const std::string &identity)
+{
+    for (const BackendRecord &known : this->registry.visible()) {
+        if (known.identity != identity) {
+            continue;
+        }
+        BackendRecord stopped = known;
+        stopped.state = BackendState::Stopped;
+        // No announcement of this run that is still under way may bring it back.
+        stopped.sequence = std::numeric_limits<std::int64_t>::max();
+        return this->announce(stopped).has_value();
+    }
+    return false;
+}
+
+bool ControlMember::hearsFronts() const
+{
+    return this->fronts.anyHeard(MonotonicClock::now());
+}
+
+std::vector<std::string> ControlMember::entriesFor(const std::string &dataCentre) const
+{
+    return this->fronts.entriesFor(dataCentre, MonotonicClock::now());
+}
+
+} // namespace Galenawell
--- a/src/galenawell/control/controlstate.cpp
+++ b/src/galenawell/control/controlstate.cpp
@@ -90,7 +90,8 @@
                        .partitionMaps = std::move(maps.value())};
 }
 
-ControlState::ControlState()
+ControlState::ControlState(ConfigurationNumbering numbering)
+    : configurations(numbering)
 {
     this->publishView(0);
 }
@@ -195,7 +196,7 @@
     return writer.take();
 }
 
-Result<ControlState> ControlState::restore(std::string_view bytes)
+Result<ControlState> ControlState::restore(std::string_view bytes, ConfigurationNumbering numbering)
 {
     if (bytes.size() > Detail::maximumSnapshotBytes) {
         return Detail::malformed("more than 2 GiB");
@@ -229,6 +230,7 @@
     ControlState state;
     state.configurations = ConfigurationHistory::restore(
         static_cast<std::uint64_t>(record.newestNumber), std::move(record.newestContent), std::move(digests));
+    state.configurations.setNumbering(numbering);
     state.maps = std::move(maps.value());
     state.ledger = ClaimLedger::restore(std::move(claims.value()), watermark.value());
     state.time = logTime.value();
--- a/src/galenawell/control/controlstate.h
+++ b/src/galenawell/control/controlstate.h
@@ -33,7 +33,7 @@
 class ControlState
 {
 public:
-    ControlState();
+    explicit ControlState(ConfigurationNumbering numbering = ConfigurationNumbering::Consecutive);
 
     // `index` is the log index of the command.
     ControlResult apply(const ControlCommand &command, std::uint64_t index);
@@ -46,7 +46,7 @@
     WallTime logTime() const;
 
     std::string serialise() const;
-    static Result<ControlState> restore(std::string_view bytes);
+    static Result<ControlState> restore(std::string_view bytes, ConfigurationNumbering numbering = ConfigurationNumbering::Consecutive);
 
 private:
     ControlResult applyConfiguration(const ProposeConfiguration &command, std::uint64_t index);
--- a/src/galenawell/control/replicatedlog.cpp
+++ b/src/galenawell/control/replicatedlog.cpp
@@ -11,15 +11,12 @@
 
 const Log logger("log");
 
-// A proposal or read that isn't confirmed by then has lost its majority.
-constexpr std::chrono::milliseconds quorumTimeout{3000};
-
 } // namespace
 
 struct ReplicatedLog::Completion
 {
-    explicit Completion(const Asio::any_io_executor &executor)
-        : timer(executor, MonotonicClock::now() + quorumTimeout)
+    Completion(const Asio::any_io_executor &executor, std::chrono::milliseconds timeout)
+        : timer(executor, MonotonicClock::now() + timeout)
     {
     }
 
@@ -42,7 +39,7 @@
     , storage(std::move(logStorage))
     , sendMessage(std::move(messageSender))
     , tickTimer(this->thread.get_executor())
-    , state(std::make_unique<ControlState>())
+    , state(std::make_unique<ControlState>(this->options.numbering))
     , history(Galenawell::hasHistory(this->storage.restored()))
 {
 }
@@ -58,6 +55,11 @@
     return this->storage.identity();
 }
 
+bool ReplicatedLog::hasFailed() const
+{
+    return this->failed;
+}
+
 bool ReplicatedLog::hasHistory() const
 {
     return this->history;
@@ -72,12 +74,14 @@
         logger.info("founded the installation with " + std::to_string(founding->members.size()) + " members");
     }
     if (restored.snapshot) {
-        BOOST_OUTCOME_TRY(ControlState restoredState, ControlState::restore(restored.snapshot->state));
+        BOOST_OUTCOME_TRY(ControlState restoredState, ControlState::restore(restored.snapshot->state, this->options.numbering));
         *this->state = std::move(restoredState);
         this->appliedIndex = restored.snapshot->index;
         this->snapshotIndex = restored.snapshot->index;
     }
-    this->node.emplace(RaftOptions{.self = this->storage.identity()}, std::move(restored), std::random_device{}(), MonotonicClock::now());
+    RaftOptions raft = this->options.raft;
+    raft.self = this->storage.identity();
+    this->node.emplace(raft, std::move(restored), std::random_device{}(), MonotonicClock::now());
     Asio::post(this->thread, [self = this->shared_from_this()] {
         self->scheduleTick();
         self->schedulePump();
@@ -115,6 +119,7 @@
             return;
         }
         self->seenAt[held.from] = peer;
+        self->heardAt[held.from] = MonotonicClock::now();
         self->node->receive(held, MonotonicClock::now());
         self->schedulePump();
     });
@@ -206,14 +211,20 @@
     for (const std::uint64_t token : output.failedReads) {
         this->completeRead(token, makeError(ErrorKind::NotLeader, "this control process no longer leads"));
     }
-    if (this->appliedIndex >= this->snapshotIndex + this->options.snapshotInterval) {
+    const bool manyEntries = this->appliedIndex >= this->snapshotIndex + this->options.snapshotInterval;
+    if (manyEntries || this->bytesSinceSnapshot >= this->options.snapshotBytes) {
         this->takeSnapshot();
     }
+    const bool changed = output.installSnapshot.has_value() || !output.committed.empty();
+    if (changed && this->options.onApplied) {
+        this->options.onApplied();
+    }
 }
 
 void ReplicatedLog::apply(const LogEntry &entry)
 {
     this->appliedIndex = entry.index;
+    this->bytesSinceSnapshot += entry.payload.size();
     std::optional<AppliedCommand> applied;
     if (entry.kind == EntryKind::Command) {
         Result<ControlCommand> command = decodeControlCommand(entry.payload);
@@ -240,7 +251,7 @@
 
 void ReplicatedLog::installSnapshot(const RaftSnapshot &snapshot)
 {
-    Result<ControlState> restored = ControlState::restore(snapshot.state);
+    Result<ControlState> restored = ControlState::restore(snapshot.state, this->options.numbering);
     if (!restored) {
         logger.error("a received snapshot can't be read, this member stops voting: " + restored.error().message());
         this->failed = true;
@@ -262,6 +273,7 @@
         return;
     }
     this->node->compact(snapshot);
+    this->bytesSinceSnapshot = 0;
     this->snapshotIndex = this->appliedIndex;
 }
 
@@ -304,7 +316,7 @@
     if (!index) {
         co_return index.error();
     }
-    auto completion = std::make_shared<Completion>(this->thread.get_executor());
+    auto completion = std::make_shared<Completion>(this->thread.get_executor(), this->options.quorumTimeout);
     completion->term = this->node->term();
     this->proposals[index.value()] = completion;
     this->schedulePump();
@@ -357,7 +369,7 @@
             co_return makeError(ErrorKind::NotLeader, "this control process doesn't lead");
         }
         const std::uint64_t token = self->nextReadToken++;
-        auto completion = std::make_shared<Completion>(self->thread.get_executor());
+        auto completion = std::make_shared<Completion>(self->thread.get_executor(), self->options.quorumTimeout);
         self->reads.emplace(token, completion);
         self->node->requestRead(token, MonotonicClock::now());
         self->schedulePump();
@@ -395,6 +407,9 @@
         status.membership = self->node->membership();
         for (const Member &member : status.membership.members) {
             status.matchIndexes[member.id] = self->node->matchIndex(member.id);
+            if (const auto heard = self->heardAt.find(member.id); heard != self->heardAt.end()) {
+                status.silence[member.id] = toMilliseconds(MonotonicClock::now() - heard->second);
+            }
         }
         status.bytesOnDisk = self->storage.bytesOnDisk();
         status.storageFull = !self->storage.checkSpace();
--- a/src/galenawell/control/replicatedlog.h
+++ b/src/galenawell/control/replicatedlog.h
@@ -25,6 +25,16 @@
     // Entries between two snapshots of the control state.
     std::uint64_t snapshotInterval = 1000;
     std::chrono::milliseconds tickInterval{20};
+    // Bytes of commands after which a snapshot is taken before the interval, so that large configurations don't fill disk
+    // and memory.
+    std::size_t snapshotBytes = std::size_t(8) * 1024 * 1024;
+    ConfigurationNumbering numbering = ConfigurationNumbering::Consecutive;
+    // Called on the log's thread after commands were applied.
+    std::function<void()> onApplied{};
+    // Timing of the log itself; `self` is filled in from the storage.
+    RaftOptions raft{};
+    // A proposal or read that isn't confirmed by then has lost its majority.
+    std::chrono::milliseconds quorumTimeout{3000};
 };
 
 struct AppliedCommand
@@ -45,6 +55,8 @@
     LogIndex lastIndex = 0;
     Membership membership;
     std::map<MemberId, LogIndex> matchIndexes;
+    // Time since the last message of a member; absent for members that haven't been heard by this process.
+    std::map<MemberId, std::chrono::milliseconds> silence;
     std::size_t bytesOnDisk = 0;
     bool storageFull = false;
 };
@@ -84,6 +96,8 @@
     MemberId identity() const;
     // True once this member took part in a log.
     bool hasHistory() const;
+    // True after a storage failure that only a restart can cure.
+    bool hasFailed() const;
 
 private:
     struct Completion;
@@ -113,16 +127,19 @@
     std::optional<RaftOutput> unstored;
     LogIndex appliedIndex = 0;
     LogIndex snapshotIndex = 0;
+    // Of the commands applied since the last snapshot.
+    std::size_t bytesSinceSnapshot = 0;
     // Proposals of this leader by log index.
     std::map<LogIndex, std::shared_ptr<Completion>> proposals;
     std::map<std::uint64_t, std::shared_ptr<Completion>> reads;
     std::uint64_t nextReadToken = 1;
     // Where members that aren't in the membership yet are reached.
     std::map<MemberId, InstanceName> seenAt;
+    std::map<MemberId, TimePoint> heardAt;
     std::atomic<bool> history{false};
     bool pumpScheduled = false;
     bool stopped = false;
-    bool failed = false;
+    std::atomic<bool> failed{false};
 };
 
 } // namespace Galenawell
--- a/src/galenawell/core/reasons.cpp
+++ b/src/galenawell/core/reasons.cpp
@@ -30,6 +30,10 @@
     {"quarantined", 422, "change the request; this content made backend servers fail"},
     {"not_found", 404, "check the name"},
     {"unauthenticated", 401, "send the operator token as a bearer token"},
+    {"no_configuration", 503, "try again once an operator has put a configuration into force"},
+    {"server_failed", 502, "check with the backend service whether the request took effect"},
+    {"attempts_exhausted", 502, "check with the backend service whether the request took effect"},
+    {"caller_left", 499, "nothing; the caller closed the connection before the answer"},
 }};
 
 // In the order of RetryReason.
@@ -43,6 +47,8 @@
     "starting",
     "invalid_reply",
     "hedge",
+    "server_failed",
+    "wrong_server",
 };
 
 constexpr std::array<std::string_view, priorityCount> priorityNames{"urgent", "standard", "bulk"};
--- a/src/galenawell/core/reasons.h
+++ b/src/galenawell/core/reasons.h
@@ -35,6 +35,10 @@
     Quarantined,
     NotFound,
     Unauthenticated,
+    NoConfiguration,
+    ServerFailed,
+    AttemptsExhausted,
+    CallerLeft,
     Count,
 };
 
@@ -48,6 +52,8 @@
     Starting,
     InvalidReply,
     Hedge,
+    ServerFailed,
+    WrongServer,
     Count,
 };
 
--- a/src/galenawell/front/registrycodec.cpp
+++ b/src/galenawell/front/registrycodec.cpp
@@ -59,6 +59,9 @@
     entry.versions.assign(record.versions.begin(), record.versions.end());
     entry.slots = static_cast<std::int32_t>(record.slots);
     entry.connections = static_cast<std::int32_t>(record.connections);
+    if (!record.identity.empty()) {
+        entry.__set_identity(record.identity);
+    }
     return entry;
 }
 
@@ -78,6 +81,7 @@
     record.versions.insert(entry.versions.begin(), entry.versions.end());
     record.slots = static_cast<std::uint32_t>(entry.slots);
     record.connections = static_cast<std::uint32_t>(entry.connections);
+    record.identity = entry.identity;
     return record;
 }
 
--- /dev/null
+++ b/src/galenawell/front/routedfront.cpp
@@ -0,0 +1,396 @@
+#include "galenawell/front/routedfront.h"
+
+#include "galenawell/core/endpoint.h"
+#include "galenawell/front/registrycodec.h"
+#include "galenawell/query/recordmerger.h"
+#include "galenawell/telemetry/log.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace Galenawell {
+
+namespace {
+
+const Log logger("front");
+
+constexpr std::chrono::milliseconds tickInterval{100};
+// Without any word of a control process for this long, contact counts as lost.
+constexpr std::chrono::milliseconds contactGap{1500};
+// A replicated record of a server is kept this many renewals beyond the last word of its holder.
+constexpr int leaseHeartbeats = 3;
+constexpr std::chrono::milliseconds shareStability{2000};
+// The answer's way to the caller, and its writing; kept back from objectives and deadlines.
+constexpr std::chrono::milliseconds answerReserve{12};
+// A caller that is refused for lack of a server or a place may return after this time; servers renew their announcements
+// and queues empty within it.
+constexpr std::chrono::milliseconds returnAfter{120};
+// Callers keep the directory's answer for a while; from then on nobody new comes.
+constexpr std::chrono::milliseconds quietBeforeEnd{700};
+// Part of the grace period that is left for the end of the process itself.
+constexpr std::chrono::milliseconds graceReserve{900};
+constexpr std::chrono::milliseconds shutdownPoll{50};
+// Learnt latencies of servers that stand still now and then: hedge what exceeds the usual by far.
+constexpr HedgeOptions hedgeOptions{.enabled = true, .budgetPercent = 0, .quantile = 0.93, .minimumDelay = std::chrono::milliseconds(5)};
+
+Incarnation incarnationNow()
+{
+    return static_cast<Incarnation>(wallNow().time_since_epoch().count());
+}
+
+} // namespace
+
+RoutedFront::RoutedFront(Asio::any_io_executor ioExecutor,
+                         NodeSettings nodeSettings,
+                         std::shared_ptr<const RequestCodec> requestCodec,
+                         ReadConfiguration configurationReader,
+                         std::shared_ptr<Metrics> sharedMetrics,
+                         std::shared_ptr<EventLog> eventLog)
+    : executor(std::move(ioExecutor))
+    , settings(std::move(nodeSettings))
+    , codec(std::move(requestCodec))
+    , readConfiguration(std::move(configurationReader))
+    , metrics(std::move(sharedMetrics))
+    , events(std::move(eventLog))
+    , traffic(std::make_shared<PeerTraffic>())
+    , client(this->executor, BackendClientOptions{.replacesCancelled = false})
+    , incarnation(incarnationNow())
+    , registry(RegistryOptions{.self = this->settings.peerName(),
+                               .incarnation = this->incarnation,
+                               .lease = this->settings.heartbeatInterval * leaseHeartbeats})
+    , tables(RouteTableOptions{.dataCentre = this->settings.dataCentre,
+                               .hedge = hedgeOptions,
+                               .extraLoadPercent = this->settings.extraLoadPercent,
+                               .extraLoadSlack = this->settings.extraLoadSlack})
+    , plan(std::make_shared<RoutePlan>())
+    , table(std::make_shared<RoutingTable>())
+    , liveFronts(shareStability)
+    , nextSeed(std::random_device{}())
+{
+}
+
+Status RoutedFront::start()
+{
+    const auto self = this->shared_from_this();
+    this->subscriptions = std::make_shared<ControlSubscriptions>(
+        this->executor,
+        ControlSubscriptionsOptions{.self = this->settings.peerName(), .peerKey = this->settings.peerKey},
+        this->traffic,
+        [self](const InstanceName &control) { return self->subscriptionFor(control); },
+        [self](const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint askedAt) {
+            self->handleReply(control, reply, askedAt);
+        });
+    this->callerServer = std::make_shared<HttpServer>(
+        this->executor,
+        HttpServerOptions{
+            .address = *this->settings.callerAddress, .maximumConnections = this->settings.maximumConnections, .fractionalRetryAfter = true},
+        [self](HttpRequest request) { return self->handle(std::move(request)); },
+        [self](RefusalReason reason, const std::string &) {
+            self->metrics->countRefusal(reason);
+            return self->codec->encodeRefusal(Refusal{.reason = reason, .execution = Execution::NotRun, .retryAfter = returnAfter});
+        });
+    this->callerServer->start();
+    this->subscriptions->addSeeds(this->settings.seedNames());
+    Asio::co_spawn(
+        this->executor, [self] { return self->tickLoop(); }, Asio::detached);
+    return boost::outcome_v2::success();
+}
+
+void RoutedFront::reload(const NodeSettings &newSettings)
+{
+    this->settings.seeds = newSettings.seeds;
+    this->subscriptions->addSeeds(this->settings.seedNames());
+}
+
+bool RoutedFront::ready() const
+{
+    return this->revision > 0 && this->plan->number() > 0 && !this->draining;
+}
+
+Asio::awaitable<void> RoutedFront::pause(std::chrono::milliseconds duration)
+{
+    Asio::steady_timer timer(this->executor, duration);
+    co_await timer.async_wait(awaitResult);
+}
+
+Asio::awaitable<void> RoutedFront::shutdown()
+{
+    this->draining = true;
+    this->subscriptions->tellAll();
+    this->callerServer->announceClose();
+    const TimePoint end = MonotonicClock::now() + this->settings.gracePeriod - graceReserve;
+    const TimePoint earliest = MonotonicClock::now() + this->settings.directoryKeep + quietBeforeEnd;
+    TimePoint quietSince = MonotonicClock::now();
+    while (MonotonicClock::now() < end) {
+        co_await this->pause(shutdownPoll);
+        const TimePoint now = MonotonicClock::now();
+        if (this->callerServer->inFlight() > 0) {
+            quietSince = now;
+        }
+        if (now >= earliest && now - quietSince >= quietBeforeEnd) {
+            break;
+        }
+    }
+    this->callerServer->stop();
+    while (this->callerServer->inFlight() > 0 && MonotonicClock::now() < end + graceReserve) {
+        co_await this->pause(shutdownPoll);
+    }
+    this->stopping = true;
+    this->subscriptions->stop();
+}
+
+// ---- Requests
+
+Asio::awaitable<HttpResponse> RoutedFront::handle(HttpRequest message)
+{
+    const std::shared_ptr<CallerPresence> caller = message.caller;
+    const auto request = std::make_shared<const RoutedRequest>(this->codec->decodeRequest(std::move(message)));
+    this->metrics->count(CounterName::QueriesReceived);
+    HttpResponse response = co_await this->serve(request, caller);
+    co_return response;
+}
+
+Asio::awaitable<HttpResponse> RoutedFront::serve(std::shared_ptr<const RoutedRequest> request, std::shared_ptr<CallerPresence> caller)
+{
+    const std::shared_ptr<const RoutePlan> current = this->plan;
+    if (current->number() == 0) {
+        co_return this->refuse(
+            *request, Refusal{.reason = RefusalReason::NoConfiguration, .execution = Execution::NotRun, .retryAfter = returnAfter});
+    }
+    const Route *found = current->find(request->host, request->path);
+    if (found == nullptr) {
+        co_return this->refuse(*request, Refusal{.reason = RefusalReason::UnknownPath, .execution = Execution::NotRun, .retryAfter = {}});
+    }
+    if (request->id.empty()) {
+        co_return this->refuse(
+            *request, Refusal{.reason = RefusalReason::MalformedRequest, .execution = Execution::NotRun, .retryAfter = {}});
+    }
+    const std::shared_ptr<const Route> route(current, found);
+    RoutedRunOptions options{.request = request,
+                             .route = route,
+                             .scatter = this->scatterOptionsFor(*request, *route),
+                             .table = this->table,
+                             .service = nullptr,
+                             .policies = nullptr,
+                             .seed = this->nextSeed++};
+    const std::string target = route->merges() ? RouteTables::tableName(route->groups) : this->chooseTarget(*route);
+    options.service = options.table->findService(target);
+    if (options.service == nullptr) {
+        co_return this->refuse(
+            *request, Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = returnAfter});
+    }
+    options.policies = options.service->groupPolicies.begin()->second;
+    const auto run = std::make_shared<RoutedRun>(std::move(options),
+                                                 RoutedRunServices{.codec = this->codec.get(),
+                                                                   .client = &this->client,
+                                                                   .metrics = this->metrics.get(),
+                                                                   .events = this->events.get()});
+    caller->onLeave([run] { run->abandon(); });
+    ScatterOutcome outcome = co_await run->run();
+    caller->onLeave(nullptr);
+    co_return this->conclude(*request, *route, std::move(outcome), run.get());
+}
+
+ScatterOptions RoutedFront::scatterOptionsFor(const RoutedRequest &request, const Route &route) const
+{
+    const std::chrono::milliseconds wait = std::min(request.timeLeft.value_or(route.timeout), route.timeout);
+    ScatterOptions options{.requestId = request.id,
+                           .priority = route.priority(),
+                           .deadline = request.receivedAt + std::max(wait - answerReserve, wait / 2),
+                           .maximumRuns = route.maximumRuns,
+                           .idempotent = route.idempotent,
+                           .suspectsLostConnections = false};
+    if (!route.merges()) {
+        options.makeCollector = [](const PartitionMap &) { return std::make_unique<ForwardedReplyCollector>(); };
+        return options;
+    }
+    options.leastGroups = route.leastGroups();
+    options.answerBy = request.receivedAt + std::max(route.latencyObjective - answerReserve, route.latencyObjective / 2);
+    options.makeCollector = [limit = route.recordLimit](const PartitionMap &map) { return std::make_unique<RecordMerger>(map, limit); };
+    return options;
+}
+
+std::string RoutedFront::chooseTarget(const Route &route)
+{
+    if (route.services.size() == 1) {
+        return RouteTables::tableName(route.services.front().service);
+    }
+    // Each request adds its weights and takes from the richest, so every stretch of requests keeps the proportions.
+    std::vector<double> &credit = this->credits[route.name];
+    credit.resize(route.services.size(), 0.0);
+    double total = 0;
+    std::size_t richest = 0;
+    for (std::size_t index = 0; index < credit.size(); ++index) {
+        credit[index] += route.services[index].weight;
+        total += route.services[index].weight;
+        richest = credit[index] > credit[richest] ? index : richest;
+    }
+    credit[richest] -= total;
+    return RouteTables::tableName(route.services[richest].service);
+}
+
+HttpResponse RoutedFront::refuse(const RoutedRequest &request, const Refusal &refusal)
+{
+    this->metrics->countRefusal(refusal.reason);
+    if (this->events->wants(EventKind::Refusal)) {
+        this->events->write(EventKind::Refusal,
+                            Event("refused")
+                                .text("request", request.id)
+                                .text("host", request.host)
+                                .text("path", request.path)
+                                .text("reason", toString(refusal.reason))
+                                .text("execution", toString(refusal.execution))
+                                .number("configuration", static_cast<std::int64_t>(this->plan->number()))
+                                .milliseconds("after", MonotonicClock::now() - request.receivedAt));
+    }
+    return this->codec->encodeRefusal(refusal);
+}
+
+HttpResponse RoutedFront::conclude(const RoutedRequest &request, const Route &route, ScatterOutcome outcome, const RoutedRun *run)
+{
+    if (outcome.refusal) {
+        const bool notRun = outcome.execution == Execution::NotRun;
+        Refusal refusal{.reason = *outcome.refusal, .execution = outcome.execution, .retryAfter = {}};
+        if (notRun) {
+            refusal.retryAfter = returnAfter;
+        }
+        return this->refuse(request, refusal);
+    }
+    const Duration elapsed = MonotonicClock::now() - request.receivedAt;
+    const Coverage coverage = outcome.answer->coverage;
+    this->metrics->observeLatency(route.priority(), std::chrono::duration_cast<std::chrono::microseconds>(elapsed));
+    this->metrics->count(coverage.complete() ? CounterName::AnswersComplete : CounterName::AnswersPartial);
+    const bool impaired = !coverage.complete() || elapsed > route.latencyObjective;
+    const EventKind kind = impaired ? EventKind::ImpairedAnswer : EventKind::Answer;
+    if (this->events->wants(kind)) {
+        Event event("answered");
+        event.text("request", request.id)
+            .text("route", route.name)
+            .number("groups", static_cast<std::int64_t>(coverage.total))
+            .number("answered", static_cast<std::int64_t>(coverage.answered))
+            .number("sends", static_cast<std::int64_t>(run->sends()))
+            .number("hedges", static_cast<std::int64_t>(run->hedges()))
+            .number("configuration", static_cast<std::int64_t>(this->plan->number()))
+            .milliseconds("after", elapsed)
+            .milliseconds("objective", route.latencyObjective);
+        if (!coverage.missing.empty()) {
+            event.text("first_missing", coverage.missing.front());
+        }
+        this->events->write(kind, event);
+    }
+    return this->codec->encodeAnswer(route, std::move(*outcome.answer));
+}
+
+// ---- Control state and backend servers
+
+Wire::Subscription RoutedFront::subscriptionFor(const InstanceName &control)
+{
+    Wire::Subscription subscription;
+    subscription.instance = this->settings.peerName();
+    subscription.incarnation = static_cast<std::int64_t>(this->incarnation);
+    subscription.front = true;
+    subscription.accepting = this->ready();
+    subscription.callerAddress = toString(*this->settings.callerAddress);
+    subscription.dataCentre = this->settings.dataCentre;
+    subscription.revision = static_cast<std::int64_t>(this->revision);
+    const auto [run, through] = this->registry.latestRunOf(control);
+    subscription.registryIncarnation = static_cast<std::int64_t>(run);
+    subscription.registryThrough = static_cast<std::int64_t>(through);
+    subscription.evidenceThrough = 0;
+    return subscription;
+}
+
+void RoutedFront::handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint)
+{
+    const TimePoint now = MonotonicClock::now();
+    if (this->contactSince == TimePoint()) {
+        this->contactSince = now;
+    }
+    const auto run = static_cast<Incarnation>(reply.incarnation);
+    this->registry.heardFrom(control, run, now);
+    if (reply.__isset.registry) {
+        const Result<RegistryUpdate> update = fromMessage(reply.registry, control, run);
+        if (update) {
+            this->registry.applyUpdate(update.value(), now);
+            this->rebuildNeeded = true;
+        } else {
+            logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
+        }
+    }
+    const std::size_t counted = this->liveFronts.update(static_cast<std::size_t>(std::max(1, reply.liveFronts)), now);
+    if (counted != this->frontCount) {
+        this->frontCount = counted;
+        this->metrics->set(GaugeName::LiveFronts, static_cast<double>(counted));
+        this->rebuildNeeded = true;
+    }
+    if (reply.__isset.view) {
+        const Result<ControlView> view = decodeControlView(reply.view);
+        if (view) {
+            this->install(view.value());
+        } else {
+            logger.error("a control view of " + control + " can't be read: " + view.error().message());
+        }
+    }
+    if (std::exchange(this->rebuildNeeded, false)) {
+        this->rebuild();
+    }
+}
+
+void RoutedFront::install(const ControlView &view)
+{
+    if (view.revision <= this->revision || view.configurationNumber == 0) {
+        return;
+    }
+    Result<RoutePlan> parsed = this->readConfiguration(view.configurationContent);
+    if (!parsed) {
+        // The control processes check it before, so this is a difference between versions of the program.
+        logger.error("configuration " + std::to_string(view.configurationNumber) + " can't be used: " + parsed.error().message());
+        return;
+    }
+    const bool first = !this->ready();
+    this->revision = view.revision;
+    this->plan = std::make_shared<const RoutePlan>(std::move(parsed.value()));
+    this->callerServer->setLimits(HttpLimits{.maximumHeaderBytes = this->plan->limits().maximumHeaderBytes,
+                                             .maximumBodyBytes = this->plan->limits().maximumBodyBytes,
+                                             .senderTimeout = this->plan->limits().requestTimeout,
+                                             .idleTimeout = this->plan->limits().idleTimeout});
+    this->rebuildNeeded = true;
+    this->metrics->count(CounterName::ViewsApplied);
+    this->metrics->set(GaugeName::Revision, static_cast<double>(view.revision));
+    this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(view.configurationNumber));
+    this->events->write(EventKind::State,
+                        Event("configuration_in_force")
+                            .number("configuration", static_cast<std::int64_t>(view.configurationNumber))
+                            .number("revision", static_cast<std::int64_t>(view.revision))
+                            .number("routes", static_cast<std::int64_t>(this->plan->routes().size())));
+    if (first && this->ready()) {
+        this->subscriptions->tellAll();
+    }
+}
+
+void RoutedFront::rebuild()
+{
+    const std::vector<BackendRecord> servers = this->registry.visible();
+    this->table = this->tables.build(*this->plan, servers, this->frontCount, this->revision, MonotonicClock::now());
+    this->metrics->set(GaugeName::BackendServers, static_cast<double>(servers.size()));
+}
+
+Asio::awaitable<void> RoutedFront::tickLoop()
+{
+    while (!this->stopping) {
+        co_await this->pause(tickInterval);
+        const TimePoint now = MonotonicClock::now();
+        if (now - this->subscriptions->lastHeard() > contactGap) {
+            // Without control, the servers last known are kept: their own silence shows in requests.
+            this->contactSince = TimePoint();
+            continue;
+        }
+        const bool settled = this->contactSince != TimePoint() && now - this->contactSince > this->settings.heartbeatInterval * leaseHeartbeats;
+        if (settled && this->registry.expire(now)) {
+            this->rebuild();
+        }
+    }
+}
+
+} // namespace Galenawell
--- /dev/null
+++ b/src/galenawell/front/routedfront.h
@@ -0,0 +1,90 @@
+// A front of an installation whose processes find one another: takes callers' requests by host and path, and answers them
+// from backend servers by the routes in force. Runs on one executor without other threads.
+#pragma once
+
+#include "galenawell/configuration/routeplan.h"
+#include "galenawell/control/controlstate.h"
+#include "galenawell/front/requestcodec.h"
+#include "galenawell/front/routedrun.h"
+#include "galenawell/front/routetables.h"
+#include "galenawell/membership/controlsubscriptions.h"
+#include "galenawell/registry/backendregistry.h"
+#include "galenawell/settings/nodesettings.h"
+#include "galenawell/telemetry/eventlog.h"
+#include "galenawell/telemetry/metrics.h"
+#include "galenawell/transport/httpserver.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Galenawell {
+
+class RoutedFront : public std::enable_shared_from_this<RoutedFront>
+{
+public:
+    // Reads the text of an accepted configuration.
+    using ReadConfiguration = std::function<Result<RoutePlan>(const std::string &content)>;
+
+    RoutedFront(Asio::any_io_executor executor,
+                NodeSettings settings,
+                std::shared_ptr<const RequestCodec> codec,
+                ReadConfiguration readConfiguration,
+                std::shared_ptr<Metrics> metrics,
+                std::shared_ptr<EventLog> events);
+
+    Status start();
+    // Leaves the directory, goes on answering, and ends when callers have left or the grace period is over.
+    Asio::awaitable<void> shutdown();
+    void reload(const NodeSettings &settings);
+
+    // True while this front is fit for new callers.
+    bool ready() const;
+
+private:
+    Asio::awaitable<HttpResponse> handle(HttpRequest request);
+    Asio::awaitable<HttpResponse> serve(std::shared_ptr<const RoutedRequest> request, std::shared_ptr<CallerPresence> caller);
+    HttpResponse refuse(const RoutedRequest &request, const Refusal &refusal);
+    HttpResponse conclude(const RoutedRequest &request, const Route &route, ScatterOutcome outcome, const RoutedRun *run);
+    ScatterOptions scatterOptionsFor(const RoutedRequest &request, const Route &route) const;
+    // The table's name of the service that takes this request, by the weights of the route.
+    std::string chooseTarget(const Route &route);
+
+    Wire::Subscription subscriptionFor(const InstanceName &control);
+    void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint askedAt);
+    void install(const ControlView &view);
+    void rebuild();
+    Asio::awaitable<void> tickLoop();
+    Asio::awaitable<void> pause(std::chrono::milliseconds duration);
+
+    Asio::any_io_executor executor;
+    NodeSettings settings;
+    std::shared_ptr<const RequestCodec> codec;
+    ReadConfiguration readConfiguration;
+    std::shared_ptr<Metrics> metrics;
+    std::shared_ptr<EventLog> events;
+    std::shared_ptr<PeerTraffic> traffic;
+    std::shared_ptr<ControlSubscriptions> subscriptions;
+    std::shared_ptr<HttpServer> callerServer;
+    BackendClient client;
+    const Incarnation incarnation;
+    BackendRegistry registry;
+    RouteTables tables;
+    // Routes point into the plan; a request in flight keeps the plan it began with.
+    std::shared_ptr<const RoutePlan> plan;
+    std::shared_ptr<const RoutingTable> table;
+    // Never goes back.
+    std::uint64_t revision = 0;
+    LiveFrontCount liveFronts;
+    std::size_t frontCount = 1;
+    // Since when some control process has been heard without a longer gap.
+    TimePoint contactSince;
+    std::map<std::string, std::vector<double>> credits;
+    std::uint64_t nextSeed = 1;
+    bool rebuildNeeded = false;
+    bool draining = false;
+    bool stopping = false;
+};
+
+} // namespace Galenawell
--- a/src/galenawell/query/answer.h
+++ b/src/galenawell/query/answer.h
@@ -3,8 +3,10 @@
 
 #include "galenawell/core/identifiers.h"
 #include "galenawell/core/reasons.h"
+#include "galenawell/transport/httpheader.h"
 
 #include <chrono>
+#include <memory>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -34,6 +36,15 @@
     std::optional<double> maximum;
 };
 
+// A reply that is passed on as it came.
+struct ForwardedReply
+{
+    unsigned status = 0;
+    // Without those that concern one connection only.
+    std::vector<HttpHeader> headers{};
+    std::string body{};
+};
+
 struct Row
 {
     std::string key;
@@ -49,6 +60,11 @@
     KeyRange range;
     std::vector<Row> rows;
     std::optional<Aggregates> aggregates;
+    // Shows that the server made this reply for this request; opaque to galenawell.
+    std::string proof{};
+    // Records of fixed size, in any order, for queries that merge such.
+    std::string records{};
+    std::shared_ptr<const ForwardedReply> forwarded{};
 };
 
 struct Answer
@@ -58,6 +74,11 @@
     // Sorted by key.
     std::vector<Row> rows;
     std::optional<Aggregates> aggregates;
+    // One for each merged reply that has one.
+    std::vector<std::string> proofs{};
+    std::string records{};
+    // The one reply of a forwarded request.
+    std::shared_ptr<const ForwardedReply> forwarded{};
 };
 
 } // namespace Galenawell
--- a/src/galenawell/query/answermerger.h
+++ b/src/galenawell/query/answermerger.h
@@ -20,17 +20,31 @@
     WrongRange,
 };
 
-class AnswerMerger
+// Collects the replies of one query and makes its answer.
+class ReplyCollector
+{
+public:
+    ReplyCollector() = default;
+    ReplyCollector(const ReplyCollector &) = delete;
+    ReplyCollector &operator=(const ReplyCollector &) = delete;
+    virtual ~ReplyCollector() = default;
+
+    virtual MergeVerdict merge(Subreply reply) = 0;
+    // True coverage of what has been merged so far.
+    virtual Coverage coverage() const = 0;
+    // The answer so far, with its true coverage. Leaves the collector empty.
+    virtual Answer take() = 0;
+};
+
+class AnswerMerger : public ReplyCollector
 {
 public:
     AnswerMerger(const PartitionMap &partitionMap, Snapshot pinned);
 
-    MergeVerdict merge(Subreply reply);
+    MergeVerdict merge(Subreply reply) override;
     bool complete() const;
-    // True coverage of what has been merged so far.
-    Coverage coverage() const;
-    // The answer so far, with its true coverage. Leaves the merger without rows.
-    Answer take();
+    Coverage coverage() const override;
+    Answer take() override;
 
 private:
     struct Part
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -46,6 +46,7 @@
     case RetryReason::Overloaded:
     case RetryReason::WrongVersion:
     case RetryReason::Starting:
+    case RetryReason::WrongServer:
         return true;
     default:
         return false;
@@ -55,7 +56,8 @@
 // True if the replica can't serve this query later either.
 bool excludesReplica(RetryReason reason)
 {
-    return reason == RetryReason::Draining || reason == RetryReason::WrongVersion || reason == RetryReason::InvalidReply;
+    return reason == RetryReason::Draining || reason == RetryReason::WrongVersion || reason == RetryReason::InvalidReply
+        || reason == RetryReason::WrongServer;
 }
 
 // These refusals pass with time, so they don't use up the group's attempts.
@@ -77,6 +79,18 @@
 {
 }
 
+ServicePolicies::ServicePolicies(const HedgeOptions &hedgeOptions, double budgetPercent, double budgetTokens)
+    : hedge(hedgeOptions)
+    , retries(budgetPercent, budgetTokens)
+    , sharedBudget(true)
+{
+}
+
+bool ServicePolicies::spendForHedge()
+{
+    return this->sharedBudget ? this->hedge.enabled() && this->retries.spend() : this->hedge.trySpend();
+}
+
 void ServicePolicies::continueFrom(const ServicePolicies &previous)
 {
     this->hedge.continueFrom(previous.hedge);
@@ -110,6 +124,24 @@
     return this->service.options.kind == ServiceKind::Pool;
 }
 
+std::size_t Scatter::leastGroups() const
+{
+    if (this->options.leastGroups) {
+        return *this->options.leastGroups;
+    }
+    return this->options.partialAllowed ? 1 : this->groups.size();
+}
+
+bool Scatter::enough(const Coverage &coverage) const
+{
+    return coverage.answered > 0 && coverage.answered >= this->leastGroups();
+}
+
+bool Scatter::mayRunOnce(const GroupProgress &progress) const
+{
+    return this->options.maximumRuns == 0 || progress.runs < this->options.maximumRuns;
+}
+
 ScatterActions Scatter::start(TimePoint now)
 {
     ScatterActions actions;
@@ -126,7 +158,10 @@
 {
     const PartitionMap *map = nullptr;
     std::size_t readyGroups = 1;
-    if (this->isPool()) {
+    if (this->service.fixedGroups) {
+        map = &*this->service.fixedGroups;
+        readyGroups = map->groups.size();
+    } else if (this->isPool()) {
         this->poolMap = PartitionMap{.service = this->service.options.name, .epoch = 0, .groups = {PartitionGroup{}}};
         map = &*this->poolMap;
     } else {
@@ -138,12 +173,16 @@
         map = this->chosen->map;
         readyGroups = this->chosen->readyGroups;
     }
-    this->merger.emplace(*map, this->chosen ? this->chosen->snapshot : Snapshot{});
+    if (this->options.makeCollector) {
+        this->merger = this->options.makeCollector(*map);
+    } else {
+        this->merger = std::make_unique<AnswerMerger>(*map, this->chosen ? this->chosen->snapshot : Snapshot{});
+    }
     if (readyGroups == 0) {
         this->refuse(RefusalReason::NoReplica, actions);
         return false;
     }
-    if (readyGroups < map->groups.size() && !this->options.partialAllowed) {
+    if (readyGroups < map->groups.size() && !this->options.partialAllowed && !this->options.leastGroups) {
         // The table doesn't change for this query, so sending the rest would only load the servers.
         this->refuse(RefusalReason::IncompleteCoverage, actions);
         return false;
@@ -168,6 +207,8 @@
     GroupProgress progress;
     progress.group = &group;
     progress.replicas = found == this->service.groups.end() ? &noReplicas : &found->second;
+    const auto own = this->service.groupPolicies.find(group.name);
+    progress.policies = own == this->service.groupPolicies.end() ? this->policies.get() : own->second.get();
     this->groups.push_back(std::move(progress));
 }
 
@@ -244,6 +285,10 @@
 {
     GroupProgress &progress = this->groups[index];
     progress.retryAt.reset();
+    if (!this->mayRunOnce(progress)) {
+        this->giveUp(index);
+        return;
+    }
     ReplicaQuery query = this->queryFor(progress);
     query.allowSlow = progress.waitsSince && now - *progress.waitsSince >= slowPatience;
     const Replica *replica = chooseReplica(*progress.replicas, this->service.options, query, this->random, now);
@@ -273,7 +318,7 @@
         progress.freeRetryUsed = true;
         return true;
     }
-    return this->policies->retries.spend();
+    return progress.policies->retries.spend();
 }
 
 void Scatter::waitForPlace(std::size_t index, TimePoint now)
@@ -297,7 +342,7 @@
 {
     GroupProgress &progress = this->groups[index];
     progress.hedgeAt = TimePoint::max();
-    if (progress.hedged || progress.pending.size() != 1) {
+    if (progress.hedged || progress.pending.size() != 1 || !this->options.idempotent || !this->mayRunOnce(progress)) {
         return;
     }
     const bool suspected = this->suspicion != Suspicion::None && this->suspicion != Suspicion::Cleared;
@@ -310,7 +355,7 @@
     query.allowSlow = false;
     query.avoidDataCentre = progress.pending.front().replica->record.dataCentre;
     const Replica *replica = chooseReplica(*progress.replicas, this->service.options, query, this->random, now);
-    if (replica != nullptr && this->policies->hedge.trySpend()) {
+    if (replica != nullptr && progress.policies->spendForHedge()) {
         progress.hedged = true;
         actions.retries.push_back(RetryReason::Hedge);
         this->send(index, *replica, true, now, actions);
@@ -325,7 +370,7 @@
 void Scatter::hedgeLater(std::size_t index, TimePoint now)
 {
     GroupProgress &progress = this->groups[index];
-    progress.hedgeAt = now + this->policies->hedge.delay();
+    progress.hedgeAt = now + progress.policies->hedge.delay();
     this->addWake(index, progress.hedgeAt);
 }
 
@@ -341,17 +386,18 @@
         .hedge = isHedge,
     };
     progress.pending.push_back(pending);
+    ++progress.runs;
     progress.waitsSince.reset();
     progress.tried.push_back(replica.record.key.address);
     this->addWake(index, pending.expiry);
     if (isHedge) {
         ++this->hedges;
-    } else if (this->policies->hedge.enabled()) {
+    } else if (this->options.idempotent && progress.policies->hedge.enabled()) {
         this->hedgeLater(index, now);
     }
     if (!isHedge && !progress.retryReason) {
-        this->policies->hedge.earn();
-        this->policies->retries.earn();
+        progress.policies->hedge.earn();
+        progress.policies->retries.earn();
     }
     actions.send.push_back({
         .subrequestId = pending.subrequestId,
@@ -399,7 +445,9 @@
     }
     const std::size_t index = this->groupOf[pending->subrequestId - 1];
     pending->replica->health->recordLoad(load, now);
-    if (this->isPool()) {
+    if (this->service.fixedGroups) {
+        reply.group = this->groups[index].group->name;
+    } else if (this->isPool()) {
         reply.snapshot = Snapshot{};
         reply.group.clear();
         reply.range = KeyRange{};
@@ -423,7 +471,7 @@
 {
     GroupProgress &progress = this->groups[index];
     pending.replica->health->recordSuccess(latency, now);
-    this->policies->hedge.recordLatency(latency);
+    progress.policies->hedge.recordLatency(latency);
     progress.done = true;
     --this->unfinished;
     this->cancelPending(progress, now, actions);
@@ -456,6 +504,7 @@
     this->recordFault(pending, failure, now);
     if (unrun) {
         ++this->refusedUnrun;
+        --progress.runs;
     }
     if (!isTransient(failure.reason)) {
         ++progress.attempts;
@@ -464,8 +513,8 @@
         progress.excluded.push_back(pending.replica->record.key.address);
     }
     if (failure.reason == RetryReason::ConnectionLost) {
-        ++progress.lostConnections;
-        if (this->suspicion == Suspicion::None) {
+        progress.lostConnections += this->options.suspectsLostConnections ? 1 : 0;
+        if (this->options.suspectsLostConnections && this->suspicion == Suspicion::None) {
             this->suspicion = Suspicion::Suspected;
         }
         if (this->suspicion == Suspicion::Probing && this->probe == index) {
@@ -490,6 +539,7 @@
         health.holdOff(now + startingHoldOff);
         return;
     case RetryReason::Draining:
+    case RetryReason::WrongServer:
         health.holdOff(now + drainHoldOff);
         return;
     case RetryReason::WrongVersion:
@@ -515,8 +565,9 @@
     progress.retryReason = reason;
     progress.hedged = false;
     progress.hedgeAt = TimePoint::max();
-    progress.nextIsFree = unrun && !progress.freeRetryUsed;
-    if (progress.attempts >= maximumAttempts) {
+    progress.nextIsFree = unrun && !progress.freeRetryUsed && !progress.policies->sharedBudget;
+    const bool mayHaveRun = !unrun && !this->options.idempotent;
+    if (progress.attempts >= maximumAttempts || mayHaveRun) {
         this->giveUp(index);
     } else if (progress.lostConnections > 0) {
         this->retryLostConnection(index, now, actions);
@@ -588,8 +639,9 @@
         return actions;
     }
     this->startProbe(now, actions);
-    const bool cannotComplete = this->givenUp > 0 && !this->options.partialAllowed;
-    if (this->unfinished == 0 || cannotComplete || now >= this->options.deadline) {
+    const bool cannotComplete = this->groups.size() - this->givenUp < this->leastGroups();
+    const bool answersNow = now >= this->options.answerBy && this->enough(this->merger->coverage());
+    if (this->unfinished == 0 || cannotComplete || answersNow || now >= this->options.deadline) {
         this->end(now, actions);
         return actions;
     }
@@ -598,6 +650,9 @@
         this->wakes.pop_back();
     }
     actions.wakeAt = this->wakes.empty() ? this->options.deadline : std::min(this->options.deadline, this->wakes.front().at);
+    if (now < this->options.answerBy) {
+        actions.wakeAt = std::min(*actions.wakeAt, this->options.answerBy);
+    }
     return actions;
 }
 
@@ -607,7 +662,7 @@
         this->cancelPending(progress, now, actions);
     }
     const Coverage coverage = this->merger->coverage();
-    if (coverage.complete() || (this->options.partialAllowed && coverage.answered > 0)) {
+    if (this->enough(coverage)) {
         this->ended = true;
         actions.outcome = ScatterOutcome{
             .answer = this->merger->take(),
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,18 @@
     TimePoint deadline;
     bool partialAllowed = false;
     Selection selection = Selection::TwoChoices;
+    // Fewest groups that make an answer, in place of partialAllowed: an answer with gaps is given from answerBy on, or
+    // once nothing more can come.
+    std::optional<std::size_t> leastGroups{};
+    TimePoint answerBy = TimePoint::max();
+    // Replicas of one group that may run the request; 0 for no limit of its own.
+    unsigned maximumRuns = 0;
+    // False: nothing is sent again that may have run, and nothing is hedged.
+    bool idempotent = true;
+    // False: one lost connection doesn't hold back the other groups of the query.
+    bool suspectsLostConnections = true;
+    // Makes the collector of the replies; without it rows and aggregates are merged.
+    std::function<std::unique_ptr<ReplyCollector>(const PartitionMap &)> makeCollector{};
 };
 
 struct SubrequestSend
@@ -76,11 +89,19 @@
 {
     explicit ServicePolicies(const ServiceOptions &options);
 
+    // One budget for retries and hedges, as shares of the subrequests and with a bounded number of tokens.
+    ServicePolicies(const HedgeOptions &hedgeOptions, double budgetPercent, double budgetTokens);
+
     // For a change of options: learnt latencies and budgets go on.
     void continueFrom(const ServicePolicies &previous);
 
+    // True if one more subrequest may be sent to hedge another.
+    bool spendForHedge();
+
     HedgePolicy hedge;
     ExtraLoadBudget retries;
+    // Hedges are paid from `retries` too.
+    bool sharedBudget = false;
 };
 
 class Scatter
@@ -123,6 +144,9 @@
     {
         const PartitionGroup *group = nullptr;
         const std::vector<Replica> *replicas = nullptr;
+        ServicePolicies *policies = nullptr;
+        // Subrequests that ran or may have run.
+        unsigned runs = 0;
         // At most the first subrequest and its hedge.
         std::vector<Pending> pending;
         std::vector<std::string> tried;
@@ -177,7 +201,7 @@
     RandomSource random;
     std::optional<ChosenSnapshot> chosen;
     std::optional<PartitionMap> poolMap;
-    std::optional<AnswerMerger> merger;
+    std::unique_ptr<ReplyCollector> merger;
     // In the order of the map.
     std::vector<GroupProgress> groups;
     // Index of the group by subrequest id - 1.
@@ -194,6 +218,10 @@
     bool ended = false;
 
     bool isPool() const;
+    // Whether this coverage makes an answer.
+    bool enough(const Coverage &coverage) const;
+    bool mayRunOnce(const GroupProgress &progress) const;
+    std::size_t leastGroups() const;
     bool prepare(TimePoint now, ScatterActions &actions);
     void addGroup(const PartitionGroup &group);
     ReplicaQuery queryFor(const GroupProgress &progress) const;
--- a/src/galenawell/registry/backendregistry.cpp
+++ b/src/galenawell/registry/backendregistry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -87,7 +89,8 @@
                         record.range.end,
                         record.versions,
                         record.slots,
-                        record.connections);
+                        record.connections,
+                        record.identity);
     };
     return content(*this) == content(other);
 }
@@ -308,6 +311,15 @@
     return known == this->holders.end() ? 0 : known->second.through;
 }
 
+std::pair<Incarnation, std::uint64_t> BackendRegistry::latestRunOf(const InstanceName &holder) const
+{
+    const auto next = this->holders.upper_bound({holder, std::numeric_limits<Incarnation>::max()});
+    if (next == this->holders.begin() || std::prev(next)->first.first != holder) {
+        return {0, 0};
+    }
+    return {std::prev(next)->first.second, std::prev(next)->second.through};
+}
+
 void BackendRegistry::heardFrom(const InstanceName &holder, Incarnation holderIncarnation, TimePoint now)
 {
     this->findCurrentHolder(holder, holderIncarnation, now);
--- a/src/galenawell/registry/backendregistry.h
+++ b/src/galenawell/registry/backendregistry.h
@@ -42,6 +42,8 @@
     std::set<std::uint64_t> versions;
     std::uint32_t slots = 1;
     std::uint32_t connections = 1;
+    // Name that the server answers to, if it has one besides its address; a request that names it can't run elsewhere.
+    std::string identity;
 
     // True if routing or snapshot choice would treat the two alike; the sequence doesn't count.
     bool sameContent(const BackendRecord &other) const;
@@ -98,6 +100,9 @@
     // The number up to which this front has a holder's changes; 0 for an unknown holder or another incarnation.
     std::uint64_t appliedThrough(const InstanceName &holder, Incarnation holderIncarnation) const;
 
+    // The latest known run of a holder, and how far its changes were applied; zeros for an unknown holder.
+    std::pair<Incarnation, std::uint64_t> latestRunOf(const InstanceName &holder) const;
+
     // Any message of a holder keeps its records alive here.
     void heardFrom(const InstanceName &holder, Incarnation holderIncarnation, TimePoint now);
 
--- a/src/galenawell/routing/hedgepolicy.cpp
+++ b/src/galenawell/routing/hedgepolicy.cpp
@@ -52,8 +52,18 @@
 {
 }
 
+ExtraLoadBudget::ExtraLoadBudget(double percent, double tokens)
+    : milliTokens(0)
+    , earnedPerSubrequest(milliTokensFor(percent))
+    , milliCapacity(std::llround(tokens * milliPerToken))
+{
+}
+
 std::int64_t ExtraLoadBudget::capacity() const
 {
+    if (const std::int64_t fixed = this->milliCapacity.load(std::memory_order_relaxed); fixed > 0) {
+        return fixed;
+    }
     return this->earnedPerSubrequest.load(std::memory_order_relaxed) * rememberedSubrequests;
 }
 
@@ -92,9 +102,20 @@
     return this->milliTokens.load(std::memory_order_relaxed) * 2 < this->capacity();
 }
 
+void ExtraLoadBudget::setCapacity(double tokens)
+{
+    this->milliCapacity.store(std::llround(tokens * milliPerToken), std::memory_order_relaxed);
+    this->dropExcess();
+}
+
 void ExtraLoadBudget::setPercent(double percent)
 {
     this->earnedPerSubrequest.store(milliTokensFor(percent), std::memory_order_relaxed);
+    this->dropExcess();
+}
+
+void ExtraLoadBudget::dropExcess()
+{
     const std::int64_t limit = this->capacity();
     std::int64_t held = this->milliTokens.load(std::memory_order_relaxed);
     while (held > limit && !this->milliTokens.compare_exchange_weak(held, limit, std::memory_order_relaxed)) {
--- a/src/galenawell/routing/hedgepolicy.h
+++ b/src/galenawell/routing/hedgepolicy.h
@@ -17,11 +17,14 @@
 {
 public:
     explicit ExtraLoadBudget(double percent);
+    // Holds up to the given number of tokens and begins empty, so that a process that restarts adds nothing.
+    ExtraLoadBudget(double percent, double tokens);
 
     void earn();
     bool spend();
     bool lessThanHalfFull() const;
     void setPercent(double percent);
+    void setCapacity(double tokens);
     // Takes over what another budget holds, up to the own capacity.
     void continueFrom(const ExtraLoadBudget &previous);
 
@@ -29,8 +32,11 @@
     // Thousandths of a token, bounded, so that a quiet hour doesn't pay for a burst.
     std::atomic<std::int64_t> milliTokens;
     std::atomic<std::int64_t> earnedPerSubrequest;
+    // 0: what a fixed number of subrequests earns.
+    std::atomic<std::int64_t> milliCapacity{0};
 
     std::int64_t capacity() const;
+    void dropExcess();
 };
 
 class HedgePolicy
--- a/src/galenawell/routing/routingtable.h
+++ b/src/galenawell/routing/routingtable.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,8 @@
     std::uint32_t share = 1;
 };
 
+struct ServicePolicies;
+
 struct ServiceTable
 {
     ServiceOptions options;
@@ -31,6 +34,10 @@
     std::vector<PartitionMap> maps;
     // Replicas by group name; a pool service has one group with an empty name.
     std::map<std::string, std::vector<Replica>> groups;
+    // Latencies and budgets by group name, where groups don't share those of the service.
+    std::map<std::string, std::shared_ptr<ServicePolicies>> groupPolicies;
+    // Groups of a query that has no recorded map: each is answered whole by any of its replicas.
+    std::optional<PartitionMap> fixedGroups;
 };
 
 struct RoutingTable
--- /dev/null
+++ b/src/galenawell/settings/nodesettings.cpp
@@ -0,0 +1,175 @@
+#include "galenawell/settings/nodesettings.h"
+
+#include "galenawell/core/endpoint.h"
+#include "galenawell/settings/objectreader.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace Galenawell {
+
+namespace {
+
+constexpr std::array<Choice<ProcessRole>, 2> roles{{{"front", ProcessRole::Front}, {"control", ProcessRole::Control}}};
+constexpr std::array<Choice<std::string_view>, 4> logLevels{{{"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}}};
+constexpr DurationRange anyDuration{.minimum = std::chrono::milliseconds(1), .maximum = std::chrono::hours(1)};
+constexpr std::uint16_t defaultMetricsPort = 9464;
+
+bool anyText(const std::string &text)
+{
+    return !text.empty() && text.size() <= 4096;
+}
+
+const TextRule textRule{.accepts = anyText, .allowed = "a text of 1 to 4096 bytes"};
+const TextRule keyRule{.accepts = anyText, .allowed = "a text of 1 to 4096 bytes", .secret = true};
+
+// Fills in what has an empty text or an empty list, which templates leave where a role has no such value.
+nlohmann::json dropEmpty(const nlohmann::json &document)
+{
+    nlohmann::json kept = nlohmann::json::object();
+    for (const auto &[key, value] : document.items()) {
+        const bool emptyText = value.is_string() && value.get_ref<const std::string &>().empty();
+        if (!emptyText && !value.is_null()) {
+            kept[key] = value;
+        }
+    }
+    return kept;
+}
+
+std::vector<NodeSettings::Endpoint> readSeeds(const nlohmann::json &document, std::uint16_t port, FaultRecord &faults)
+{
+    std::vector<NodeSettings::Endpoint> seeds;
+    const auto found = document.find("seeds");
+    if (found == document.end() || !found->is_array()) {
+        faults.add("/seeds", "must be a list of addresses of control processes");
+        return seeds;
+    }
+    for (const nlohmann::json &seed : *found) {
+        const std::optional<NodeSettings::Endpoint> endpoint = seed.is_string() ? parseEndpoint(seed.get<std::string>()) : std::nullopt;
+        if (!endpoint) {
+            faults.add("/seeds", "must hold addresses such as 192.0.2.7:9000");
+            continue;
+        }
+        seeds.emplace_back(endpoint->address(), port);
+    }
+    return seeds;
+}
+
+void readTimes(ObjectReader &reader, NodeSettings &settings)
+{
+    reader.duration("heartbeatIntervalMs", settings.heartbeatInterval, anyDuration);
+    reader.duration("directoryKeepMs", settings.directoryKeep, anyDuration);
+    reader.duration("gracePeriodMs", settings.gracePeriod, anyDuration);
+    reader.duration("extraLoadWindowMs", settings.extraLoadWindow, anyDuration);
+    reader.number("extraLoadPercent", settings.extraLoadPercent, {.minimum = 0, .maximum = 100});
+    reader.number("extraLoadSlack", settings.extraLoadSlack, {.minimum = 0, .maximum = 1e6});
+}
+
+void readAddresses(ObjectReader &reader, NodeSettings &settings)
+{
+    reader.require("peerAddress", "an IP number and a port");
+    reader.endpoint("peerAddress", settings.peerAddress);
+    settings.metricsAddress = {settings.peerAddress.address(), defaultMetricsPort};
+    reader.endpoint("metricsAddress", settings.metricsAddress);
+    reader.endpoint("callerAddress", settings.callerAddress);
+    reader.endpoint("readinessAddress", settings.readinessAddress);
+    reader.endpoint("controlAddress", settings.controlAddress);
+    reader.endpoint("directoryAddress", settings.directoryAddress);
+}
+
+void checkRole(const NodeSettings &settings, FaultRecord &faults)
+{
+    if (settings.role == ProcessRole::Front && !settings.callerAddress) {
+        faults.add("/callerAddress", "is missing; a front needs the address that callers use");
+    }
+    if (settings.role == ProcessRole::Control && !settings.controlAddress) {
+        faults.add("/controlAddress", "is missing; a control process needs the address for announcements and configurations");
+    }
+    if (settings.role == ProcessRole::Control && settings.dataFolder.empty()) {
+        faults.add("/dataFolder", "is missing; a control process keeps its state there");
+    }
+}
+
+} // namespace
+
+InstanceName NodeSettings::peerName() const
+{
+    return toString(this->peerAddress);
+}
+
+std::vector<InstanceName> NodeSettings::seedNames() const
+{
+    std::vector<InstanceName> names;
+    for (const Endpoint &seed : this->seeds) {
+        if (seed != this->peerAddress) {
+            names.push_back(toString(seed));
+        }
+    }
+    return names;
+}
+
+bool NodeSettings::isSeed() const
+{
+    return std::ranges::find(this->seeds, this->peerAddress) != this->seeds.end();
+}
+
+Result<NodeSettings> parseNodeSettings(const std::string &text)
+{
+    const nlohmann::json parsed = nlohmann::json::parse(text, nullptr, false, true);
+    if (!parsed.is_object()) {
+        return makeError(ErrorKind::MalformedJson, "settings must be a JSON object");
+    }
+    const nlohmann::json document = dropEmpty(parsed);
+    FaultRecord faults(ErrorKind::InvalidSetting, nullptr);
+    NodeSettings settings;
+    ObjectReader reader(document, "", faults);
+    reader.require("role", "front or control");
+    reader.choice("role", settings.role, std::span<const Choice<ProcessRole>>(roles));
+    reader.require("instance", "a name");
+    reader.text("instance", settings.instance, textRule);
+    reader.require("dataCentre", "a name");
+    reader.text("dataCentre", settings.dataCentre, textRule);
+    reader.require("peerKey", "the key that all processes of the installation share");
+    reader.text("peerKey", settings.peerKey, keyRule);
+    std::string folder;
+    reader.text("dataFolder", folder, textRule);
+    settings.dataFolder = folder;
+    reader.boolean("foundInstallation", settings.foundInstallation);
+    reader.integer("toleratedLosses", settings.toleratedLosses, {.minimum = 0, .maximum = 10});
+    reader.integer("maximumConnections", settings.maximumConnections, {.minimum = 1, .maximum = 1'000'000});
+    std::string_view level = settings.logLevel;
+    reader.choice("logLevel", level, std::span<const Choice<std::string_view>>(logLevels));
+    settings.logLevel = std::string(level);
+    readAddresses(reader, settings);
+    readTimes(reader, settings);
+    if (!faults.failed()) {
+        settings.seeds = readSeeds(document, settings.peerAddress.port(), faults);
+    }
+    if (!faults.failed()) {
+        checkRole(settings, faults);
+    }
+    if (faults.failed()) {
+        return faults.error();
+    }
+    return settings;
+}
+
+Result<NodeSettings> readNodeSettings(const std::filesystem::path &file)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        return makeError(ErrorKind::UnreadableFile, "the settings file " + file.string() + " can't be read");
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    Result<NodeSettings> settings = parseNodeSettings(text.str());
+    if (!settings) {
+        return makeError(settings.error().kind, file.string() + ": " + settings.error().detail);
+    }
+    return settings;
+}
+
+} // namespace Galenawell
--- a/src/galenawell/telemetry/log.h
+++ b/src/galenawell/telemetry/log.h
@@ -6,6 +6,8 @@
 
 namespace Galenawell {
 
+class EventLog;
+
 class Log
 {
 public:
@@ -21,6 +23,9 @@
     std::string part;
 };
 
+// Sends logs of the level and above to an event log, as lines of kind "log". Called once, before any log.
+void startLogging(const std::string &level, EventLog &events);
+
 // Sends logs of the level and above to standard error. Called once, before any log.
 void startLogging(const std::string &level);
 
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -3,15 +3,49 @@
 #include "galenawell/core/endpoint.h"
 
 #include <algorithm>
+#include <charconv>
 #include <set>
 
 namespace Galenawell {
 
 namespace {
 
-constexpr std::chrono::seconds idleLimit{30};
+constexpr std::chrono::seconds longestIdle{30};
+// A connection isn't used in the last part of the time for which the server keeps it: one in this many.
+constexpr int idleReserveDivisor = 4;
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
 
+// Time for which the server keeps an idle connection, as its Keep-Alive field states it.
+std::optional<std::chrono::seconds> statedKeepAlive(std::string_view value)
+{
+    constexpr std::string_view name = "timeout=";
+    const std::size_t start = value.find(name);
+    unsigned seconds = 0;
+    if (start == std::string_view::npos
+        || std::from_chars(value.data() + start + name.size(), value.data() + value.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+Http::request<Http::string_body> makeMessage(ExchangeRequest &request)
+{
+    Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
+    message.method_string(request.method);
+    for (const HttpHeader &header : request.headers) {
+        message.insert(header.name, header.value);
+    }
+    if (message.find(Http::field::host) == message.end()) {
+        message.set(Http::field::host, request.address);
+    }
+    if (!request.contentType.empty()) {
+        message.set(Http::field::content_type, request.contentType);
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
 } // namespace
 
 void ExchangeHandle::cancel()
@@ -52,6 +86,8 @@
     // Counts the exchanges on this connection, so that a late cancel can't hit the next one.
     std::uint64_t exchanges = 0;
     TimePoint lastReply;
+    // Shorter than the server's own limit, so that no request crosses its close.
+    std::chrono::milliseconds idleLimit{longestIdle};
 };
 
 struct BackendClient::Server
@@ -63,7 +99,7 @@
         while (!this->idle.empty()) {
             std::shared_ptr<Connection> connection = std::move(this->idle.back());
             this->idle.pop_back();
-            if (now - connection->lastReply < idleLimit && !connection->stale()) {
+            if (now - connection->lastReply < connection->idleLimit && !connection->stale()) {
                 return connection;
             }
         }
@@ -91,8 +127,9 @@
     std::atomic<std::int64_t> newestReplyAt{0};
 };
 
-BackendClient::BackendClient(Asio::any_io_executor ioExecutor)
+BackendClient::BackendClient(Asio::any_io_executor ioExecutor, BackendClientOptions clientOptions)
     : executor(std::move(ioExecutor))
+    , options(clientOptions)
 {
 }
 
@@ -157,7 +194,7 @@
     }
     ExchangeResult result = co_await Asio::co_spawn(
         connection->stream.get_executor(), this->run(server, connection, std::move(request), handle), Asio::use_awaitable);
-    const bool warm = result.status == ExchangeStatus::Cancelled && connection->number != 0;
+    const bool warm = this->options.replacesCancelled && result.status == ExchangeStatus::Cancelled && connection->number != 0;
     if (warm) {
         auto replacement = std::make_shared<Connection>(this->executor);
         Asio::co_spawn(
@@ -206,7 +243,10 @@
         if (!endpoint) {
             co_return result;
         }
+        stream.expires_at(std::min<TimePoint>(request.expiry, begun + request.connectTimeout));
         auto [connectError] = co_await stream.async_connect(*endpoint, awaitResult);
+        stream.expires_at(request.expiry);
+        result.connected = true;
         if (connectError) {
             result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
             co_return result;
@@ -215,11 +255,7 @@
         stream.socket().set_option(Tcp::no_delay(true), ignored);
         connection->number = server->nextNumber++;
     }
-    Http::request<Http::string_body> message{Http::verb::post, request.target, 11};
-    message.set(Http::field::host, request.address);
-    message.set(Http::field::content_type, "application/json");
-    message.body() = std::move(request.body);
-    message.prepare_payload();
+    const Http::request<Http::string_body> message = makeMessage(request);
     auto [writeError, written] = co_await Http::async_write(stream, message, awaitResult);
     if (writeError && written == 0) {
         // Nothing left this process, so the server can't have run it.
@@ -253,14 +289,20 @@
     ++connection->exchanges;
     result.status = ExchangeStatus::Completed;
     result.httpStatus = parser.get().result_int();
+    result.headers = copyHeaders(parser.get());
     result.body = std::move(parser.get().body());
+    if (const auto kept = statedKeepAlive(findHeader(result.headers, "Keep-Alive"))) {
+        const std::chrono::milliseconds stated = *kept;
+        connection->idleLimit = std::min<std::chrono::milliseconds>(longestIdle, stated - stated / idleReserveDivisor);
+    }
     connection->lastReply = now;
     if (connection->number >= server->newestReplied) {
         server->newestReplied = connection->number;
         server->newestReplyAt = now.time_since_epoch().count();
     }
     // A fresh connection isn't kept: requests that insist on one never take it again, so it would hold a place for good.
-    if (parser.get().keep_alive() && !handle->cancelled() && !request.freshConnection) {
+    const bool reusable = parser.get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled();
+    if (reusable && !request.freshConnection) {
         server->putIdle(connection);
     } else {
         stream.close();
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -4,6 +4,7 @@
 
 #include "galenawell/core/clock.h"
 #include "galenawell/transport/asio.h"
+#include "galenawell/transport/httpheader.h"
 
 #include <atomic>
 #include <chrono>
@@ -32,9 +33,16 @@
 {
     // "IP:port".
     std::string address;
+    std::string method = "POST";
     std::string target;
+    // Besides Content-Length, Content-Type, and Host where the list has none.
+    std::vector<HttpHeader> headers{};
+    // Empty: none besides one in the list.
+    std::string contentType = "application/json";
     std::string body;
     TimePoint expiry;
+    // Limit of the connection attempt within the expiry.
+    std::chrono::milliseconds connectTimeout = std::chrono::hours(1);
     std::size_t maximumReplyBytes = std::size_t(4) * 1024 * 1024;
     // A fresh connection can't have gone silent while idle, which matters where a lost reply can't be asked again.
     bool freshConnection = false;
@@ -44,7 +52,10 @@
 {
     ExchangeStatus status = ExchangeStatus::NotSent;
     unsigned httpStatus = 0;
+    std::vector<HttpHeader> headers{};
     std::string body;
+    // True if the exchange made a new connection.
+    bool connected = false;
     std::chrono::microseconds latency{0};
     // True if a newer connection to the server had a reply while this one made no progress.
     bool connectionAtFault = false;
@@ -65,10 +76,16 @@
     std::function<void()> closeConnection;
 };
 
+struct BackendClientOptions
+{
+    // Makes a warm connection in place of one that a cancel closed; the next request would else wait for the connect.
+    bool replacesCancelled = true;
+};
+
 class BackendClient
 {
 public:
-    explicit BackendClient(Asio::any_io_executor executor);
+    explicit BackendClient(Asio::any_io_executor executor, BackendClientOptions options = {});
     ~BackendClient();
 
     Asio::awaitable<ExchangeResult> exchange(ExchangeRequest request, std::shared_ptr<ExchangeHandle> handle);
@@ -87,10 +104,10 @@
                                         ExchangeRequest request,
                                         std::shared_ptr<ExchangeHandle> handle);
 
-    // Makes a warm connection in place of one that a cancel closed; the next request would else wait for the connect.
     static Asio::awaitable<void> connectIdle(std::shared_ptr<Server> server, std::shared_ptr<Connection> connection, std::string address);
 
     Asio::any_io_executor executor;
+    BackendClientOptions options;
     mutable std::shared_mutex mutex;
     std::map<std::string, std::shared_ptr<Server>> servers;
 };
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -2,8 +2,7 @@
 
 #include <array>
 #include <charconv>
-#include <mutex>
-#include <vector>
+#include <utility>
 
 namespace Galenawell {
 
@@ -11,6 +10,9 @@
 
 constexpr std::chrono::milliseconds acceptPause{50};
 constexpr std::chrono::milliseconds writeTimeout{10000};
+// One read of bytes that a caller sends before its answer.
+constexpr std::size_t pipelinedReadBytes = 4096;
+constexpr std::size_t maximumBufferedBytes = std::size_t(256) * 1024;
 
 std::string decodePercent(std::string_view text)
 {
@@ -53,12 +55,54 @@
     if (authorization.starts_with(bearerPrefix)) {
         request.bearerToken = std::string(authorization.substr(bearerPrefix.size()));
     }
+    request.target = std::string(message.target());
+    request.headers = copyHeaders(message);
+    request.receivedAt = MonotonicClock::now();
     request.body = std::move(message.body());
     return request;
 }
 
+std::string retryAfterText(std::chrono::milliseconds wait, bool fractional)
+{
+    constexpr std::int64_t milli = 1000;
+    if (!fractional) {
+        return std::to_string((wait.count() + milli - 1) / milli);
+    }
+    const std::string thousandths = std::to_string(milli + wait.count() % milli).substr(1);
+    return std::to_string(wait.count() / milli) + "." + thousandths;
+}
+
 } // namespace
 
+bool CallerPresence::gone() const
+{
+    return this->left;
+}
+
+void CallerPresence::onLeave(std::function<void()> callback)
+{
+    if (this->left && callback) {
+        callback();
+        return;
+    }
+    this->notify = std::move(callback);
+}
+
+void CallerPresence::leave()
+{
+    if (std::exchange(this->left, true)) {
+        return;
+    }
+    if (const auto callback = std::exchange(this->notify, nullptr)) {
+        callback();
+    }
+}
+
+std::string_view HttpRequest::header(std::string_view name) const
+{
+    return findHeader(this->headers, name);
+}
+
 void parseTarget(std::string_view target, HttpRequest &request)
 {
     const std::size_t mark = target.find('?');
@@ -85,7 +129,8 @@
     }
 
     Beast::tcp_stream stream;
-    Beast::flat_buffer buffer;
+    // Large enough for a request with its headers that arrives behind another one.
+    Beast::flat_buffer buffer{maximumBufferedBytes};
     // False between two requests, when the connection may be closed without harm.
     std::atomic<bool> busy{false};
     // Set once the sender's time limit ends a request; the stream's own limit would close the socket before the refusal.
@@ -93,6 +138,8 @@
     // Number of the request that is being read; 0 while none is.
     std::uint64_t reading = 0;
     std::uint64_t requests = 0;
+    // Set while the socket is watched for the caller's departure.
+    bool watching = false;
 };
 
 HttpServer::HttpServer(Asio::any_io_executor ioExecutor,
@@ -104,7 +151,18 @@
     , handler(std::move(requestHandler))
     , refusal(std::move(refusalHandler))
     , acceptor(Asio::make_strand(this->executor))
+    , limits(std::make_shared<const HttpLimits>(this->options.limits))
+{
+}
+
+void HttpServer::setLimits(const HttpLimits &newLimits)
+{
+    this->limits.store(std::make_shared<const HttpLimits>(newLimits));
+}
+
+void HttpServer::announceClose()
 {
+    this->closing = true;
 }
 
 void HttpServer::start()
@@ -205,7 +263,7 @@
 {
     connection->stream.expires_never();
     connection->reading = ++connection->requests;
-    Asio::steady_timer timer(connection->stream.get_executor(), this->options.senderTimeout);
+    Asio::steady_timer timer(connection->stream.get_executor(), this->limits.load()->senderTimeout);
     timer.async_wait([connection, number = connection->reading](const Beast::error_code &error) {
         if (error || connection->reading != number) {
             return;
@@ -234,15 +292,39 @@
     co_return HttpResponse{.status = 500, .body = R"({"execution":"unknown","reason":"internal error"})"};
 }
 
+Asio::awaitable<void> HttpServer::watchCaller(std::shared_ptr<Connection> connection, std::shared_ptr<CallerPresence> caller)
+{
+    Tcp::socket &socket = connection->stream.socket();
+    while (connection->watching) {
+        auto [error] = co_await socket.async_wait(Tcp::socket::wait_read, awaitResult);
+        if (!connection->watching) {
+            co_return;
+        }
+        const std::size_t room = connection->buffer.max_size() - connection->buffer.size();
+        if (error || room < pipelinedReadBytes) {
+            co_return;
+        }
+        Beast::error_code readError;
+        socket.non_blocking(true, readError);
+        const std::size_t received = socket.read_some(connection->buffer.prepare(pipelinedReadBytes), readError);
+        connection->buffer.commit(received);
+        if (readError && readError != Asio::error::would_block) {
+            caller->leave();
+            co_return;
+        }
+    }
+}
+
 Asio::awaitable<bool> HttpServer::serveOne(std::shared_ptr<Connection> shared)
 {
     Connection &connection = *shared;
+    const std::shared_ptr<const HttpLimits> sender = this->limits.load();
     RequestParser parser;
-    parser.header_limit(this->options.maximumHeaderBytes);
-    parser.body_limit(this->options.maximumBodyBytes);
+    parser.header_limit(sender->maximumHeaderBytes);
+    parser.body_limit(sender->maximumBodyBytes);
     if (connection.buffer.size() == 0) {
         // Waits for the first byte under the idle limit, so that the sender's limit covers one request only.
-        connection.stream.expires_after(this->options.idleTimeout);
+        connection.stream.expires_after(sender->idleTimeout);
         auto [waitError, received] = co_await connection.stream.async_read_some(connection.buffer.prepare(4096), awaitResult);
         if (waitError || this->stopping) {
             co_return false;
@@ -264,9 +346,23 @@
         // The handler has its own time limits; the stream's would cut off a slow answer.
         connection.stream.expires_never();
         HttpRequest request = toRequest(parser.release());
+        request.caller = std::make_shared<CallerPresence>();
+        const std::shared_ptr<CallerPresence> caller = request.caller;
+        connection.watching = true;
+        Asio::co_spawn(
+            connection.stream.get_executor(),
+            [self = this->shared_from_this(), shared, caller] { return self->watchCaller(shared, caller); },
+            Asio::detached);
         const HttpResponse response = co_await this->handle(std::move(request));
-        keepAlive = keepAlive && !this->stopping;
-        co_await this->respond(connection, response, version, keepAlive);
+        connection.watching = false;
+        Beast::error_code ignored;
+        connection.stream.socket().cancel(ignored);
+        keepAlive = keepAlive && !this->stopping && !this->closing && !response.close;
+        if (caller->gone()) {
+            keepAlive = false;
+        } else {
+            co_await this->respond(connection, response, version, keepAlive);
+        }
     }
     --this->active;
     connection.busy = false;
@@ -276,10 +372,14 @@
 Asio::awaitable<void> HttpServer::respond(Connection &connection, const HttpResponse &response, unsigned version, bool keepAlive)
 {
     Http::response<Http::string_body> message{static_cast<Http::status>(response.status), version};
-    message.set(Http::field::content_type, response.contentType);
+    if (!response.contentType.empty()) {
+        message.set(Http::field::content_type, response.contentType);
+    }
     if (response.retryAfter) {
-        // The header counts whole seconds; the JSON body has milliseconds.
-        message.set(Http::field::retry_after, std::to_string((response.retryAfter->count() + 999) / 1000));
+        message.set(Http::field::retry_after, retryAfterText(*response.retryAfter, this->options.fractionalRetryAfter));
+    }
+    for (const HttpHeader &header : response.headers) {
+        message.insert(header.name, header.value);
     }
     message.body() = response.body;
     message.keep_alive(keepAlive);
--- a/src/galenawell/transport/httpserver.h
+++ b/src/galenawell/transport/httpserver.h
@@ -2,8 +2,10 @@
 // sender takes; hands whole requests to a handler.
 #pragma once
 
+#include "galenawell/core/clock.h"
 #include "galenawell/core/reasons.h"
 #include "galenawell/transport/asio.h"
+#include "galenawell/transport/httpheader.h"
 
 #include <atomic>
 #include <chrono>
@@ -11,11 +13,29 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Galenawell {
 
+// Tells a request's handler that its caller closed the connection, so that work for it can stop. Used on the strand of
+// the connection, on which the handler runs.
+class CallerPresence
+{
+public:
+    bool gone() const;
+    // Called at most once, at once if the caller has already gone.
+    void onLeave(std::function<void()> callback);
+    void leave();
+
+private:
+    bool left = false;
+    std::function<void()> notify;
+};
+
 struct HttpRequest
 {
     std::string method;
@@ -25,6 +45,15 @@
     std::string body;
     // Value of "Authorization: Bearer", if present.
     std::string bearerToken;
+    // Path and query string as they were sent.
+    std::string target;
+    std::vector<HttpHeader> headers;
+    TimePoint receivedAt;
+    // Never null for a request that a server hands out.
+    std::shared_ptr<CallerPresence> caller;
+
+    // Value of the first header with this name, in any case; empty if there is none.
+    std::string_view header(std::string_view name) const;
 };
 
 struct HttpResponse
@@ -33,12 +62,15 @@
     std::string contentType = "application/json";
     std::string body;
     std::optional<std::chrono::milliseconds> retryAfter;
+    // Besides those that the server sets itself.
+    std::vector<HttpHeader> headers{};
+    // The connection is closed after this response.
+    bool close = false;
 };
 
-struct HttpServerOptions
+// What one sender may take. Replaced as a whole while the server runs.
+struct HttpLimits
 {
-    Tcp::endpoint address;
-    std::size_t maximumConnections = 1024;
     std::uint32_t maximumHeaderBytes = 16 * 1024;
     std::uint64_t maximumBodyBytes = std::uint64_t(1024) * 1024;
     // From the first byte of a request to its last.
@@ -46,6 +78,15 @@
     std::chrono::milliseconds idleTimeout{60000};
 };
 
+struct HttpServerOptions
+{
+    Tcp::endpoint address;
+    std::size_t maximumConnections = 1024;
+    HttpLimits limits{};
+    // Retry-After in fractions of a second, for callers that understand them; else in whole seconds, rounded up.
+    bool fractionalRetryAfter = false;
+};
+
 class HttpServer : public std::enable_shared_from_this<HttpServer>
 {
 public:
@@ -59,6 +100,9 @@
     void start();
     // Accepts no more connections. Requests that are being handled finish; idle connections are closed.
     void stop();
+    // Every response from now on asks its caller to close the connection; nothing is closed or refused yet.
+    void announceClose();
+    void setLimits(const HttpLimits &limits);
 
     // Requests between their first byte and the end of their response.
     std::size_t inFlight() const;
@@ -75,6 +119,8 @@
     // The sender's time limit is reported as Beast::error::timeout and leaves the connection open for the refusal.
     Asio::awaitable<Beast::error_code> readRequest(std::shared_ptr<Connection> connection, RequestParser &parser);
     Asio::awaitable<HttpResponse> handle(HttpRequest request);
+    // Notices that the caller closes its connection while its request is handled. Keeps bytes of a following request.
+    Asio::awaitable<void> watchCaller(std::shared_ptr<Connection> connection, std::shared_ptr<CallerPresence> caller);
     Asio::awaitable<bool> serveOne(std::shared_ptr<Connection> shared);
     Asio::awaitable<void> respond(Connection &connection, const HttpResponse &response, unsigned version, bool keepAlive);
     void closeIdle();
@@ -87,6 +133,8 @@
     std::atomic<std::size_t> active{0};
     std::atomic<std::size_t> open{0};
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};
+    std::atomic<std::shared_ptr<const HttpLimits>> limits;
     std::mutex connectionsMutex;
     // Every open connection, so that stop() can close the idle ones.
     std::map<Connection *, std::weak_ptr<Connection>> connections;
--- a/src/galenawell/transport/peerchannel.cpp
+++ b/src/galenawell/transport/peerchannel.cpp
@@ -72,7 +72,7 @@
     if (hello.highestVersion < lowestPeerVersion || hello.lowestVersion > highestPeerVersion) {
         return makeError(ErrorKind::VersionMismatch, "peer " + hello.instance + " speaks no common protocol version");
     }
-    if (!identity.accepted.contains(hello.instance)) {
+    if (!identity.acceptAny && !identity.accepted.contains(hello.instance)) {
         return makeError(ErrorKind::Unauthenticated, "peer " + hello.instance + " isn't in the settings");
     }
     return boost::outcome_v2::success();
--- a/src/galenawell/transport/peerlink.cpp
+++ b/src/galenawell/transport/peerlink.cpp
@@ -53,6 +53,7 @@
 {
     // The link goes to one named peer; nobody else may answer at its address.
     this->identity.accepted = {this->peer};
+    this->identity.acceptAny = false;
 }
 
 const InstanceName &PeerLink::peerInstance() const
--- a/src/galenawell/transport/peerlink.h
+++ b/src/galenawell/transport/peerlink.h
@@ -31,6 +31,8 @@
     std::string key;
     // Instances that are accepted as the other end.
     std::set<InstanceName> accepted;
+    // Accepts every instance that proves the key, for installations whose processes come and go.
+    bool acceptAny = false;
 };
 
 // Frames of one authenticated connection: length, HMAC, payload. Detects change, replay and reordering.
--- a/tests/unit/transport/test_httpserver.cpp
+++ b/tests/unit/transport/test_httpserver.cpp
@@ -84,7 +84,7 @@
 // Guards against memory that a sender can make the process reserve.
 Test(http_server, oversized_headers_and_bodies_are_refused)
 {
-    EchoServer echo({.maximumHeaderBytes = 512, .maximumBodyBytes = 64});
+    EchoServer echo({.limits = {.maximumHeaderBytes = 512, .maximumBodyBytes = 64}});
     const std::string tooLarge(toString(RefusalReason::RequestTooLarge));
     cr_assert(contains(echo.reply(post("/", "", "X: " + std::string(600, 'x') + "\r\n")), tooLarge));
     cr_assert(contains(echo.reply(post("/", std::string(65, 'x'))), tooLarge));
@@ -94,7 +94,7 @@
 // Guards against a slow sender that is cut off without being told, or that holds its connection for ever.
 Test(http_server, a_slow_sender_is_told_so_and_closed)
 {
-    EchoServer echo({.senderTimeout = 50ms});
+    EchoServer echo({.limits = {.limits = {.senderTimeout = 50ms}}});
     cr_assert(
         contains(echo.reply("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"), std::string(toString(RefusalReason::SenderTooSlow))));
 }
