--- a/src/galenawell/configuration/routeplan.cpp
+++ b/src/galenawell/configuration/routeplan.cpp
@@ -35,8 +35,7 @@
     return static_cast<Priority>(std::min<unsigned>(this->rank, static_cast<unsigned>(Priority::Bulk)));
 }
 
-Result<RoutePlan>
-RoutePlan::make(std::uint64_t number, std::vector<Route> routes, std::vector<RoutedService> services, CallerLimits limits)
+Result<RoutePlan> RoutePlan::make(std::uint64_t number, std::vector<Route> routes, std::vector<RoutedService> services, CallerLimits limits)
 {
     RoutePlan plan;
     plan.planNumber = number;
@@ -53,8 +52,7 @@
         plan.byHost[plan.allRoutes[index].host].push_back(index);
     }
     for (auto &[host, indexes] : plan.byHost) {
-        std::ranges::stable_sort(
-            indexes, std::greater<>(), [&plan](std::size_t index) { return plan.allRoutes[index].pathPrefix.size(); });
+        std::ranges::stable_sort(indexes, std::greater<>(), [&plan](std::size_t index) { return plan.allRoutes[index].pathPrefix.size(); });
     }
     return plan;
 }
--- a/src/galenawell/configuration/routeplan.h
+++ b/src/galenawell/configuration/routeplan.h
@@ -73,7 +73,8 @@
 {
 public:
     // InvalidConfiguration names the first route that can't be used.
-    static Result<RoutePlan> make(std::uint64_t number, std::vector<Route> routes, std::vector<RoutedService> services, CallerLimits limits);
+    static Result<RoutePlan>
+    make(std::uint64_t number, std::vector<Route> routes, std::vector<RoutedService> services, CallerLimits limits);
 
     RoutePlan() = default;
 
--- a/src/galenawell/consensus/voterplan.cpp
+++ b/src/galenawell/consensus/voterplan.cpp
@@ -31,9 +31,8 @@
 // The voter at the learner's own instance lost its disk, so its identity never comes back.
 const Member *predecessorOf(const Membership &membership, const Member &learner)
 {
-    const auto found = std::ranges::find_if(membership.members, [&learner](const Member &member) {
-        return member.instance == learner.instance && member.id != learner.id;
-    });
+    const auto found = std::ranges::find_if(
+        membership.members, [&learner](const Member &member) { return member.instance == learner.instance && member.id != learner.id; });
     return found == membership.members.end() ? nullptr : &*found;
 }
 
