--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -66,7 +66,8 @@
     virtual ~RequestCodec() = default;
 
     virtual RoutedRequest decodeRequest(HttpRequest request) const = 0;
-    virtual ExchangeRequest encodeSubrequest(const RoutedRequest &request, const BackendRecord &server, std::chrono::milliseconds timeLeft) const = 0;
+    virtual ExchangeRequest
+    encodeSubrequest(const RoutedRequest &request, const BackendRecord &server, std::chrono::milliseconds timeLeft) const = 0;
     virtual ServerReply decodeReply(const RoutedRequest &request, ExchangeResult result) const = 0;
     virtual HttpResponse encodeAnswer(const Route &route, Answer answer) const = 0;
     virtual HttpResponse encodeRefusal(const Refusal &refusal) const = 0;
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -83,8 +83,9 @@
         });
     this->callerServer = std::make_shared<HttpServer>(
         this->executor,
-        HttpServerOptions{
-            .address = *this->settings.callerAddress, .maximumConnections = this->settings.maximumConnections, .fractionalRetryAfter = true},
+        HttpServerOptions{.address = *this->settings.callerAddress,
+                          .maximumConnections = this->settings.maximumConnections,
+                          .fractionalRetryAfter = true},
         [self](HttpRequest request) { return self->handle(std::move(request)); },
         [self](RefusalReason reason, const std::string &) {
             self->metrics->countRefusal(reason);
@@ -163,8 +164,8 @@
         co_return this->refuse(*request, Refusal{.reason = RefusalReason::UnknownPath, .execution = Execution::NotRun, .retryAfter = {}});
     }
     if (request->id.empty()) {
-        co_return this->refuse(
-            *request, Refusal{.reason = RefusalReason::MalformedRequest, .execution = Execution::NotRun, .retryAfter = {}});
+        co_return this->refuse(*request,
+                               Refusal{.reason = RefusalReason::MalformedRequest, .execution = Execution::NotRun, .retryAfter = {}});
     }
     const std::shared_ptr<const Route> route(current, found);
     RoutedRunOptions options{.request = request,
@@ -177,15 +178,14 @@
     const std::string target = route->merges() ? RouteTables::tableName(route->groups) : this->chooseTarget(*route);
     options.service = options.table->findService(target);
     if (options.service == nullptr) {
-        co_return this->refuse(
-            *request, Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = returnAfter});
+        co_return this->refuse(*request,
+                               Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = returnAfter});
     }
     options.policies = options.service->groupPolicies.begin()->second;
-    const auto run = std::make_shared<RoutedRun>(std::move(options),
-                                                 RoutedRunServices{.codec = this->codec.get(),
-                                                                   .client = &this->client,
-                                                                   .metrics = this->metrics.get(),
-                                                                   .events = this->events.get()});
+    const auto run = std::make_shared<RoutedRun>(
+        std::move(options),
+        RoutedRunServices{
+            .codec = this->codec.get(), .client = &this->client, .metrics = this->metrics.get(), .events = this->events.get()});
     caller->onLeave([run] { run->abandon(); });
     ScatterOutcome outcome = co_await run->run();
     caller->onLeave(nullptr);
@@ -386,7 +386,8 @@
             this->contactSince = TimePoint();
             continue;
         }
-        const bool settled = this->contactSince != TimePoint() && now - this->contactSince > this->settings.heartbeatInterval * leaseHeartbeats;
+        const bool settled
+            = this->contactSince != TimePoint() && now - this->contactSince > this->settings.heartbeatInterval * leaseHeartbeats;
         if (settled && this->registry.expire(now)) {
             this->rebuild();
         }
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -127,8 +127,11 @@
     }
 }
 
-std::shared_ptr<const RoutingTable> RouteTables::build(
-    const RoutePlan &plan, const std::vector<BackendRecord> &allRecords, std::size_t fronts, std::uint64_t revision, TimePoint now)
+std::shared_ptr<const RoutingTable> RouteTables::build(const RoutePlan &plan,
+                                                       const std::vector<BackendRecord> &allRecords,
+                                                       std::size_t fronts,
+                                                       std::uint64_t revision,
+                                                       TimePoint now)
 {
     const std::vector<BackendRecord> records = latestAtEachAddress(allRecords);
     this->forgetServers(records);
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -49,7 +49,8 @@
 
     ReplicasByService replicasOf(const RoutePlan &plan, const std::vector<BackendRecord> &records, std::size_t fronts, TimePoint now);
     void forgetServers(const std::vector<BackendRecord> &records);
-    void addTable(RoutingTable &table, const std::string &name, const std::vector<std::string> &services, const ReplicasByService &replicas);
+    void
+    addTable(RoutingTable &table, const std::string &name, const std::vector<std::string> &services, const ReplicasByService &replicas);
 
     RouteTableOptions options;
     std::map<ReplicaKey, KnownServer> servers;
--- a/src/galenawell/membership/controlsubscriptions.cpp
+++ b/src/galenawell/membership/controlsubscriptions.cpp
@@ -53,8 +53,8 @@
     if (name == this->options.self || !endpoint || this->stopped) {
         return;
     }
-    const auto link
-        = std::make_shared<PeerLink>(this->executor, *endpoint, openIdentity(this->options.self, this->options.peerKey), name, this->traffic);
+    const auto link = std::make_shared<PeerLink>(
+        this->executor, *endpoint, openIdentity(this->options.self, this->options.peerKey), name, this->traffic);
     this->controls.emplace(name, Control{.link = link, .heardAt = {}, .listedAt = now});
     Asio::co_spawn(
         this->executor, [self = this->shared_from_this(), name] { return self->loop(name); }, Asio::detached);
--- a/src/galenawell/query/answer.h
+++ b/src/galenawell/query/answer.h
@@ -6,8 +6,8 @@
 #include "galenawell/transport/httpheader.h"
 
 #include <chrono>
-#include <memory>
 #include <cstdint>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
--- a/src/galenawell/telemetry/eventlog.cpp
+++ b/src/galenawell/telemetry/eventlog.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 // In the order of EventKind.
-constexpr std::array<std::string_view, eventKindCount> kindNames{"answer", "impaired_answer", "refusal", "attempt", "state", "log", "warning"};
+constexpr std::array<std::string_view, eventKindCount>
+    kindNames{"answer", "impaired_answer", "refusal", "attempt", "state", "log", "warning"};
 
 // A pipe that polls as writable takes this many bytes without blocking (PIPE_BUF).
 constexpr std::size_t atomicWriteBytes = 4096;
