Recall views and servers after a restart, learn hedge delays by route, prefer near replicas

Hedge delays mixed two kinds of work. Replicas were chosen without regard to the data centre or to subrequests that were overdue. Ruled out: slow start of processes (0.1 s in the log of a front).

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds operatorPatience{850};
 constexpr std::chrono::milliseconds operatorRetryPause{40};
 constexpr std::chrono::milliseconds forwardTimeout{500};
+// A process that has just started takes announcements before the first front finds it.
+constexpr std::chrono::milliseconds firstContact{2500};
+constexpr std::chrono::milliseconds rememberInterval{400};
 // A replicated record of a server outlives a few renewals, since crashes are noticed sooner by the fronts' own requests.
 constexpr int leaseHeartbeats = 3;
 // Control processes that were heard within this time are named to others.
@@ -80,6 +83,8 @@
                                .incarnation = this->incarnation,
                                .lease = this->settings.heartbeatInterval * leaseHeartbeats})
     , fronts(FrontDirectoryOptions{})
+    , recoveryFile(this->settings.dataFolder / "recovery.hint")
+    , createdAt(MonotonicClock::now())
 {
 }
 
@@ -88,6 +93,7 @@
     BOOST_OUTCOME_TRY(LogStorage storage,
                       LogStorage::open(LogStorageOptions{
                           .folder = this->settings.dataFolder, .segmentBytes = segmentBytes, .reserveBytes = reservedBytes}));
+    this->recall();
     const auto weak = this->weak_from_this();
     ReplicatedLogOptions options{.instance = this->settings.peerName(),
                                  .snapshotBytes = snapshotBytes,
@@ -259,8 +265,11 @@
         this->refreshRequested = false;
         this->status = co_await this->log->status();
         View applied = co_await this->log->inspect(viewOf);
-        const bool newer = this->view == nullptr || this->view->revision != applied->revision;
-        this->view = std::move(applied);
+        // A log that has just started applies its entries again.
+        const bool newer = this->view == nullptr || this->view->revision < applied->revision;
+        if (newer) {
+            this->view = std::move(applied);
+        }
         const TimePoint now = MonotonicClock::now();
         const bool registryChanged = this->registry.expire(now);
         this->fronts.expire(now);
@@ -271,8 +280,10 @@
             logger.info("configuration " + std::to_string(this->view->configurationNumber) + " is applied");
         }
         if (newer || registryChanged) {
+            this->changedSinceRemembered = true;
             this->notifyChange();
         }
+        this->remember(now);
         if (led != this->leads()) {
             led = this->leads();
             this->leaderSince = now;
@@ -292,6 +303,31 @@
     }
 }
 
+void ControlMember::recall()
+{
+    std::optional<RecoveryHint> hint = this->recoveryFile.read();
+    if (!hint) {
+        return;
+    }
+    logger.info("an earlier run knew revision " + std::to_string(hint->view.revision) + " and " + std::to_string(hint->servers.size())
+                + " backend servers");
+    this->view = std::make_shared<const ControlView>(std::move(hint->view));
+    for (const BackendRecord &server : hint->servers) {
+        // Nothing else is known yet, so nothing can be newer.
+        static_cast<void>(this->registry.announce(server, this->createdAt));
+    }
+}
+
+void ControlMember::remember(TimePoint now)
+{
+    if (!this->changedSinceRemembered || now - this->rememberedAt < rememberInterval || this->view == nullptr) {
+        return;
+    }
+    this->rememberedAt = now;
+    this->changedSinceRemembered = false;
+    this->recoveryFile.write(RecoveryHint{.view = *this->view, .servers = this->registry.visible()});
+}
+
 // ---- Members of the log
 
 Asio::awaitable<void> ControlMember::planVoters()
@@ -305,8 +341,7 @@
         progress[member.id]
             = MemberProgress{.caughtUp = this->status.matchIndexes.at(member.id) >= this->status.commitIndex, .silence = silence};
     }
-    // Room for one loss more than tolerated: while a member is replaced, another may be lost.
-    const VoterPlanOptions options{.leader = this->status.identity, .wantedVoters = 2 * this->settings.toleratedLosses + 3};
+    const VoterPlanOptions options{.leader = this->status.identity, .wantedVoters = 2 * this->settings.toleratedLosses + 1};
     std::optional<Membership> next = nextVoterStep(this->status.membership, progress, options);
     if (!next) {
         co_return;
@@ -508,6 +543,7 @@
         const Result<RegistryUpdate> update = fromMessage(reply.registry, control, run);
         if (update) {
             this->registry.applyUpdate(update.value(), now);
+            this->changedSinceRemembered = true;
         } else {
             logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
         }
@@ -683,6 +719,7 @@
                                 .text("identity", record.identity)
                                 .text("state", toString(record.state))
                                 .number("sequence", static_cast<std::int64_t>(record.sequence)));
+        this->changedSinceRemembered = true;
         this->notifyChange();
     }
     return boost::outcome_v2::success();
@@ -705,7 +742,8 @@
 
 bool ControlMember::hearsFronts() const
 {
-    return this->fronts.anyHeard(MonotonicClock::now());
+    const TimePoint now = MonotonicClock::now();
+    return now - this->createdAt < firstContact || this->fronts.anyHeard(now);
 }
 
 std::vector<std::string> ControlMember::entriesFor(const std::string &dataCentre) const
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -4,6 +4,7 @@
 
 #include "galenawell/consensus/bootstrap.h"
 #include "galenawell/control/frontdirectory.h"
+#include "galenawell/control/recoveryfile.h"
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
@@ -75,6 +76,9 @@
     Asio::awaitable<Result<ProposalOutcome>> proposeOnce(std::string command);
     Asio::awaitable<Result<View>> readOnce();
     Asio::awaitable<void> refreshLoop();
+    // Takes over what an earlier run of this process knew.
+    void recall();
+    void remember(TimePoint now);
     // Asks for a place in the log while this process has none.
     Asio::awaitable<void> joinLoop();
     Asio::awaitable<void> planVoters();
@@ -96,7 +100,11 @@
     const Incarnation incarnation;
     BackendRegistry registry;
     FrontDirectory fronts;
-    // Applied state as of the last refresh; null before the log starts.
+    RecoveryFile recoveryFile;
+    TimePoint rememberedAt;
+    bool changedSinceRemembered = false;
+    const TimePoint createdAt;
+    // Newest state that is known to be committed; null before the first. Never goes back.
     View view;
     LogStatus status;
     // Identities of the log's members as another member stated them last.
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -192,15 +192,27 @@
     co_return this->conclude(*request, *route, std::move(outcome), run.get());
 }
 
-ScatterOptions RoutedFront::scatterOptionsFor(const RoutedRequest &request, const Route &route) const
+std::shared_ptr<HedgePolicy> RoutedFront::hedgeFor(const Route &route)
+{
+    std::shared_ptr<HedgePolicy> &known = this->hedges[route.name];
+    if (known == nullptr) {
+        known = std::make_shared<HedgePolicy>(hedgeOptions);
+    }
+    return known;
+}
+
+ScatterOptions RoutedFront::scatterOptionsFor(const RoutedRequest &request, const Route &route)
 {
     const std::chrono::milliseconds wait = std::min(request.timeLeft.value_or(route.timeout), route.timeout);
     ScatterOptions options{.requestId = request.id,
                            .priority = route.priority(),
                            .deadline = request.receivedAt + std::max(wait - answerReserve, wait / 2),
+                           .selection = Selection::ThreeChoices,
                            .maximumRuns = route.maximumRuns,
                            .idempotent = route.idempotent,
-                           .suspectsLostConnections = false};
+                           .suspectsLostConnections = false,
+                           .hedge = this->hedgeFor(route),
+                           .prefersNear = true};
     if (!route.merges()) {
         options.makeCollector = [](const PartitionMap &) { return std::make_unique<ForwardedReplyCollector>(); };
         return options;
@@ -349,6 +361,11 @@
         return;
     }
     const bool first = !this->ready();
+    const auto isGone = [&plan = parsed.value()](const auto &entry) {
+        return std::ranges::find(plan.routes(), entry.first, &Route::name) == plan.routes().end();
+    };
+    std::erase_if(this->hedges, isGone);
+    std::erase_if(this->credits, isGone);
     this->revision = view.revision;
     this->plan = std::make_shared<const RoutePlan>(std::move(parsed.value()));
     this->callerServer->setLimits(HttpLimits{.maximumHeaderBytes = this->plan->limits().maximumHeaderBytes,
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -47,7 +47,8 @@
     Asio::awaitable<HttpResponse> serve(std::shared_ptr<const RoutedRequest> request, std::shared_ptr<CallerPresence> caller);
     HttpResponse refuse(const RoutedRequest &request, const Refusal &refusal);
     HttpResponse conclude(const RoutedRequest &request, const Route &route, ScatterOutcome outcome, const RoutedRun *run);
-    ScatterOptions scatterOptionsFor(const RoutedRequest &request, const Route &route) const;
+    ScatterOptions scatterOptionsFor(const RoutedRequest &request, const Route &route);
+    std::shared_ptr<HedgePolicy> hedgeFor(const Route &route);
     // The table's name of the service that takes this request, by the weights of the route.
     std::string chooseTarget(const Route &route);
 
@@ -81,6 +82,8 @@
     // Since when some control process has been heard without a longer gap.
     TimePoint contactSince;
     std::map<std::string, std::vector<double>> credits;
+    // Latencies of subrequests by route: each kind of request has its own work.
+    std::map<std::string, std::shared_ptr<HedgePolicy>> hedges;
     std::uint64_t nextSeed = 1;
     bool rebuildNeeded = false;
     bool draining = false;
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -124,6 +124,11 @@
     return this->service.options.kind == ServiceKind::Pool;
 }
 
+HedgePolicy &Scatter::hedgeOf(const GroupProgress &progress) const
+{
+    return this->options.hedge ? *this->options.hedge : progress.policies->hedge;
+}
+
 std::size_t Scatter::leastGroups() const
 {
     if (this->options.leastGroups) {
@@ -222,6 +227,9 @@
     if (this->chosen) {
         query.snapshot = this->chosen->snapshot;
     }
+    if (this->options.prefersNear) {
+        query.nearDataCentre = this->table->dataCentre;
+    }
     return query;
 }
 
@@ -342,6 +350,9 @@
 {
     GroupProgress &progress = this->groups[index];
     progress.hedgeAt = TimePoint::max();
+    if (!progress.pending.empty()) {
+        progress.pending.front().replica->health->noteOverdue(now);
+    }
     if (progress.hedged || progress.pending.size() != 1 || !this->options.idempotent || !this->mayRunOnce(progress)) {
         return;
     }
@@ -370,7 +381,7 @@
 void Scatter::hedgeLater(std::size_t index, TimePoint now)
 {
     GroupProgress &progress = this->groups[index];
-    progress.hedgeAt = now + progress.policies->hedge.delay();
+    progress.hedgeAt = now + this->hedgeOf(progress).delay();
     this->addWake(index, progress.hedgeAt);
 }
 
@@ -392,7 +403,7 @@
     this->addWake(index, pending.expiry);
     if (isHedge) {
         ++this->hedges;
-    } else if (this->options.idempotent && progress.policies->hedge.enabled()) {
+    } else if (this->options.idempotent && this->hedgeOf(progress).enabled()) {
         this->hedgeLater(index, now);
     }
     if (!isHedge && !progress.retryReason) {
@@ -471,7 +482,7 @@
 {
     GroupProgress &progress = this->groups[index];
     pending.replica->health->recordSuccess(latency, now);
-    progress.policies->hedge.recordLatency(latency);
+    this->hedgeOf(progress).recordLatency(latency);
     progress.done = true;
     --this->unfinished;
     this->cancelPending(progress, now, actions);
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -38,6 +38,10 @@
     bool idempotent = true;
     // False: one lost connection doesn't hold back the other groups of the query.
     bool suspectsLostConnections = true;
+    // Latencies of this kind of work, where the groups' own mix several kinds.
+    std::shared_ptr<HedgePolicy> hedge{};
+    // Replicas in the front's own data centre go first while they are no worse.
+    bool prefersNear = false;
     // Makes the collector of the replies; without it rows and aggregates are merged.
     std::function<std::unique_ptr<ReplyCollector>(const PartitionMap &)> makeCollector{};
 };
@@ -221,6 +225,7 @@
     // Whether this coverage makes an answer.
     bool enough(const Coverage &coverage) const;
     bool mayRunOnce(const GroupProgress &progress) const;
+    HedgePolicy &hedgeOf(const GroupProgress &progress) const;
     std::size_t leastGroups() const;
     bool prepare(TimePoint now, ScatterActions &actions);
     void addGroup(const PartitionGroup &group);
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -11,6 +11,8 @@
 constexpr double rampFloor = 0.1;
 // A replica is slow if its average latency is more than this many times that of the fastest.
 constexpr int slowFactor = 4;
+// How many times better than a near replica a far one must be, for the time and the bytes of the way.
+constexpr double farFactor = 1.3;
 // Replicas of a group that may be ejected or on probation at once: one in this many.
 constexpr std::size_t ejectionDivisor = 3;
 
@@ -73,30 +75,35 @@
 
     double score(const Replica &replica, std::chrono::microseconds fallback) const
     {
-        return replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
+        const bool far = this->query.nearDataCentre && replica.record.dataCentre != *this->query.nearDataCentre;
+        const double distance = far ? farFactor : 1.0;
+        return distance * replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
     }
 
-    // Moves the better one of two random candidates to the front.
-    void drawBetter(std::vector<Candidate> &candidates) const
+    // Moves the best one of a few random candidates to the front.
+    void drawBest(std::vector<Candidate> &candidates) const
     {
-        const std::size_t first = this->random.below(candidates.size());
-        std::swap(candidates[0], candidates[first]);
-        if (candidates.size() == 1 || this->query.selection == Selection::Random) {
-            return;
+        // In the order of Selection.
+        static constexpr std::array<std::size_t, 3> draws{2, 3, 1};
+        const std::size_t drawn = std::min(candidates.size(), draws.at(static_cast<std::size_t>(this->query.selection)));
+        std::chrono::microseconds fallback{0};
+        for (std::size_t index = 0; index < drawn; ++index) {
+            std::swap(candidates[index], candidates[index + this->random.below(candidates.size() - index)]);
+            fallback = std::max(fallback, candidates[index].replica->health->averageLatency(this->now));
         }
-        const std::size_t second = 1 + this->random.below(candidates.size() - 1);
-        std::swap(candidates[1], candidates[second]);
-        const std::chrono::microseconds fallback
-            = std::max(candidates[0].replica->health->averageLatency(this->now), candidates[1].replica->health->averageLatency(this->now));
-        if (this->score(*candidates[1].replica, fallback) < this->score(*candidates[0].replica, fallback)) {
-            std::swap(candidates[0], candidates[1]);
+        std::size_t best = 0;
+        for (std::size_t index = 1; index < drawn; ++index) {
+            if (this->score(*candidates[index].replica, fallback) < this->score(*candidates[best].replica, fallback)) {
+                best = index;
+            }
         }
+        std::swap(candidates[0], candidates[best]);
     }
 
     const Replica *acquireOne(std::vector<Candidate> candidates) const
     {
         while (!candidates.empty()) {
-            this->drawBetter(candidates);
+            this->drawBest(candidates);
             const Candidate best = candidates.front();
             if (best.replica->health->acquire(this->query.priority, this->limits(best))) {
                 return best.replica;
@@ -185,17 +192,17 @@
         }
     }
     restrictFailing(fitting, group.size(), now);
-    if (!query.allowSlow && query.selection == Selection::TwoChoices) {
+    if (!query.allowSlow && query.selection != Selection::Random) {
         removeSlow(fitting, now);
     }
 
-    // Untried elsewhere, untried here, tried before.
+    // Untried; untried but overdue, or where it shouldn't be; tried before.
     std::array<std::vector<Candidate>, 3> tiers;
     for (const Candidate &candidate : fitting) {
         const BackendRecord &record = candidate.replica->record;
         const bool tried = contains(query.tried, record.key.address);
         const bool avoided = query.avoidDataCentre && record.dataCentre == *query.avoidDataCentre;
-        const std::size_t untriedTier = avoided ? 1 : 0;
+        const std::size_t untriedTier = avoided || candidate.replica->health->overdue(now) ? 1 : 0;
         tiers.at(tried ? 2 : untriedTier).push_back(candidate);
     }
     if (query.excludeTried) {
--- a/src/galenawell/routing/replicachooser.h
+++ b/src/galenawell/routing/replicachooser.h
@@ -13,6 +13,8 @@
 
 enum class Selection : std::uint8_t {
     TwoChoices,
+    // The best of three random ones, which in a small group is the best of all.
+    ThreeChoices,
     // The baseline of bench/policy.
     Random,
 };
@@ -28,6 +30,8 @@
     bool excludeTried = false;
     // Replicas that can't serve this query at all.
     std::vector<std::string> excluded;
+    // Replicas elsewhere are taken only if they are better by the cost of the way.
+    std::optional<std::string> nearDataCentre;
     // Hedges prefer a data centre other than this.
     std::optional<std::string> avoidDataCentre;
     // False: no replica that is several times slower than the fastest, even if the faster ones have no free place.
--- a/src/galenawell/routing/replicahealth.cpp
+++ b/src/galenawell/routing/replicahealth.cpp
@@ -11,6 +11,8 @@
 constexpr std::int64_t averageDivisor = 8;
 // An average without samples halves in this time, so that a replica that is avoided for its latency is tried again.
 constexpr std::chrono::seconds averageHalfLife{5};
+// A replica that is overdue and was given nothing since is tried again after this time.
+constexpr std::chrono::milliseconds overdueLifetime{400};
 // A reported load says nothing about the present after this time.
 constexpr std::chrono::milliseconds reportLifetime{1000};
 // A fresh report counts half as much as this front's own requests, since it may be wrong and contains some of them.
@@ -91,6 +93,7 @@
 void ReplicaHealth::recordSuccess(std::chrono::microseconds sample, TimePoint now)
 {
     this->failures.store(0, std::memory_order_relaxed);
+    this->overdueSince.store(0, std::memory_order_relaxed);
     raise(this->succeededAt, toTicks(now));
     this->addLatency(sample.count(), now);
 }
@@ -139,6 +142,17 @@
     raise(this->heldOffUntil, toTicks(until));
 }
 
+void ReplicaHealth::noteOverdue(TimePoint now)
+{
+    this->overdueSince.store(toTicks(now), std::memory_order_relaxed);
+}
+
+bool ReplicaHealth::overdue(TimePoint now) const
+{
+    const std::int64_t since = this->overdueSince.load(std::memory_order_relaxed);
+    return since != 0 && fromTicks(since) + overdueLifetime > now;
+}
+
 void ReplicaHealth::setAccepting(bool accepts)
 {
     this->acceptsWork.store(accepts, std::memory_order_relaxed);
--- a/src/galenawell/routing/replicahealth.h
+++ b/src/galenawell/routing/replicahealth.h
@@ -60,6 +60,10 @@
     void setAccepting(bool accepts);
     bool accepting() const;
 
+    // A subrequest takes longer than nearly all others: the replica may stand still. Ends with its next reply.
+    void noteOverdue(TimePoint now);
+    bool overdue(TimePoint now) const;
+
     bool ejected(TimePoint now) const;
     TimePoint ejectionEnd() const;
     // True after an ejection until a success; then one subrequest at a time tests the replica.
@@ -88,6 +92,7 @@
     std::atomic<std::int64_t> latencyAt{0};
     std::atomic<std::int64_t> succeededAt{0};
     std::atomic<std::int64_t> heldOffUntil{0};
+    std::atomic<std::int64_t> overdueSince{0};
     std::atomic<bool> acceptsWork{true};
     std::atomic<std::uint32_t> reportedLoad{0};
     std::atomic<std::int64_t> reportedAt{0};
