Weigh replicas by their share of failures, use the extra-load budget, reach peers quickly

After a loss of power a front took 1.4 s to reach a control process, because a connection attempt to an instance without power hangs for a second. Ruled out: slow elections; the hint is served before there is a leader. Change: ReplicaHealth::reliability, a decaying share of failed and refused subrequests, divides the score by its square; fronts together hand out 95 % of the ratio and 75 % of the slack; peer links of such installations give up an attempt after 300 ms; a front without a configuration asks callers to return after 400 ms.

--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -22,10 +22,12 @@
 constexpr int leaseHeartbeats = 3;
 constexpr std::chrono::milliseconds shareStability{2000};
 // The answer's way to the caller, and its writing; kept back from objectives and deadlines.
-constexpr std::chrono::milliseconds answerReserve{12};
+constexpr std::chrono::milliseconds answerReserve{15};
 // A caller that is refused for lack of a server or a place may return after this time; servers renew their announcements
 // and queues empty within it.
 constexpr std::chrono::milliseconds returnAfter{120};
+// A front without a configuration has just started, most likely with all others.
+constexpr std::chrono::milliseconds returnToStarted{400};
 // Callers keep the directory's answer for a while; from then on nobody new comes.
 constexpr std::chrono::milliseconds quietBeforeEnd{700};
 // Part of the grace period that is left for the end of the process itself.
@@ -157,7 +159,7 @@
     const std::shared_ptr<const RoutePlan> current = this->plan;
     if (current->number() == 0) {
         co_return this->refuse(
-            *request, Refusal{.reason = RefusalReason::NoConfiguration, .execution = Execution::NotRun, .retryAfter = returnAfter});
+            *request, Refusal{.reason = RefusalReason::NoConfiguration, .execution = Execution::NotRun, .retryAfter = returnToStarted});
     }
     const Route *found = current->find(request->host, request->path);
     if (found == nullptr) {
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -11,9 +11,9 @@
 
 // The part of the window's budget that fronts together hand out: clocks and the number of fronts differ a little from
 // front to front.
-constexpr double budgetPart = 0.8;
-// A shared limit counts at a server until it has noticed that a connection is closed.
-constexpr double slackPart = 0.5;
+constexpr double budgetPart = 0.95;
+// The part of the window's fixed number: fronts come and go within a window.
+constexpr double slackPart = 0.75;
 
 } // namespace
 
--- a/src/galenawell/membership/controlsubscriptions.cpp
+++ b/src/galenawell/membership/controlsubscriptions.cpp
@@ -54,7 +54,7 @@
         return;
     }
     const auto link = std::make_shared<PeerLink>(
-        this->executor, *endpoint, openIdentity(this->options.self, this->options.peerKey), name, this->traffic);
+        this->executor, *endpoint, openIdentity(this->options.self, this->options.peerKey), name, this->traffic, this->options.link);
     this->controls.emplace(name, Control{.link = link, .heardAt = {}, .listedAt = now});
     Asio::co_spawn(
         this->executor, [self = this->shared_from_this(), name] { return self->loop(name); }, Asio::detached);
--- a/src/galenawell/membership/controlsubscriptions.h
+++ b/src/galenawell/membership/controlsubscriptions.h
@@ -27,7 +27,8 @@
     // Beyond the wait; a control process that takes longer counts as unreachable.
     std::chrono::milliseconds replyTimeout{700};
     // Between two attempts to reach a control process.
-    std::chrono::milliseconds retryPause{200};
+    std::chrono::milliseconds retryPause{100};
+    PeerLinkOptions link{.connectTimeout = std::chrono::milliseconds(300), .reconnectPause = std::chrono::milliseconds(90)};
     // A control process that nobody else lists is forgotten after this silence.
     std::chrono::milliseconds forgetAfter{30000};
 };
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -544,6 +544,7 @@
     ReplicaHealth &health = *pending.replica->health;
     switch (failure.reason) {
     case RetryReason::Overloaded:
+        health.recordRefusal(now);
         health.holdOff(now + overloadHoldOff);
         return;
     case RetryReason::Starting:
--- a/src/galenawell/routing/replicahealth.cpp
+++ b/src/galenawell/routing/replicahealth.cpp
@@ -19,6 +19,18 @@
 constexpr double reportWeight = 0.5;
 constexpr std::uint32_t longestEjectionShift = 16;
 
+constexpr double millionths = 1e6;
+// Weight of a new outcome in the share of failures: 1/12.
+constexpr double outcomeDivisor = 12.0;
+// A replica that is avoided for its failures is tried again: its share of failures halves in this time.
+constexpr std::chrono::milliseconds failureHalfLife{2500};
+constexpr double leastReliability = 0.1;
+
+std::int64_t halfLifeOf(std::chrono::milliseconds halfLife)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(halfLife).count();
+}
+
 std::int64_t toTicks(TimePoint point)
 {
     return std::chrono::duration_cast<std::chrono::nanoseconds>(point.time_since_epoch()).count();
@@ -95,11 +107,13 @@
     this->failures.store(0, std::memory_order_relaxed);
     this->overdueSince.store(0, std::memory_order_relaxed);
     raise(this->succeededAt, toTicks(now));
+    this->addOutcome(false, now);
     this->addLatency(sample.count(), now);
 }
 
 void ReplicaHealth::recordFailure(TimePoint now)
 {
+    this->addOutcome(true, now);
     const std::int64_t ticks = toTicks(now);
     std::int64_t until = this->ejectedUntil.load(std::memory_order_relaxed);
     if (ticks < until) {
@@ -124,6 +138,27 @@
     }
 }
 
+void ReplicaHealth::recordRefusal(TimePoint now)
+{
+    this->addOutcome(true, now);
+}
+
+double ReplicaHealth::reliability(TimePoint now) const
+{
+    const std::int64_t age = toTicks(now) - this->failureShareAt.load(std::memory_order_relaxed);
+    const double halfLives = static_cast<double>(std::max<std::int64_t>(age, 0)) / static_cast<double>(halfLifeOf(failureHalfLife));
+    const double share = static_cast<double>(this->failureShare.load(std::memory_order_relaxed)) / millionths;
+    return 1.0 - share * std::exp2(-halfLives);
+}
+
+void ReplicaHealth::addOutcome(bool failed, TimePoint now)
+{
+    const double share = 1.0 - this->reliability(now);
+    const double next = share + ((failed ? 1.0 : 0.0) - share) / outcomeDivisor;
+    this->failureShare.store(static_cast<std::int64_t>(next * millionths), std::memory_order_relaxed);
+    this->failureShareAt.store(toTicks(now), std::memory_order_relaxed);
+}
+
 void ReplicaHealth::recordLoad(const LoadReport &load, TimePoint now)
 {
     this->reportedLoad.store(load.running + load.waiting, std::memory_order_relaxed);
@@ -200,7 +235,9 @@
     const double reported = reportWeight * freshness * this->reportedLoad.load(std::memory_order_relaxed);
     const double places = 1.0 + this->inFlight() + reported;
     const double recentFailures = 1.0 + this->failures.load(std::memory_order_relaxed);
-    return places * recentFailures * static_cast<double>(std::max<std::int64_t>(known.count(), 1));
+    // A failed subrequest costs its own time and a retry of the little budget that there is, hence the square.
+    const double reliable = std::max(leastReliability, this->reliability(now));
+    return places * recentFailures * static_cast<double>(std::max<std::int64_t>(known.count(), 1)) / (reliable * reliable);
 }
 
 TimePoint ReplicaHealth::since() const
--- a/src/galenawell/routing/replicahealth.h
+++ b/src/galenawell/routing/replicahealth.h
@@ -48,6 +48,10 @@
     void recordSuccess(std::chrono::microseconds sample, TimePoint now);
     // Failures that speak against the replica itself, not those of one silent connection.
     void recordFailure(TimePoint now);
+    // The share of recent subrequests that brought a reply, which rises again while nothing is sent.
+    double reliability(TimePoint now) const;
+    // A refusal speaks against sending more, but not against the replica's health.
+    void recordRefusal(TimePoint now);
     void recordLoad(const LoadReport &load, TimePoint now);
     // A subrequest that was given up after this time; without it a replica whose replies are never awaited keeps its
     // good average.
@@ -93,10 +97,14 @@
     std::atomic<std::int64_t> succeededAt{0};
     std::atomic<std::int64_t> heldOffUntil{0};
     std::atomic<std::int64_t> overdueSince{0};
+    // Moving average of failed or refused subrequests, in millionths, and when it was last updated.
+    std::atomic<std::int64_t> failureShare{0};
+    std::atomic<std::int64_t> failureShareAt{0};
     std::atomic<bool> acceptsWork{true};
     std::atomic<std::uint32_t> reportedLoad{0};
     std::atomic<std::int64_t> reportedAt{0};
 
+    void addOutcome(bool failed, TimePoint now);
     void addLatency(std::int64_t sample, TimePoint now);
 };
 
--- a/src/galenawell/transport/peerlink.cpp
+++ b/src/galenawell/transport/peerlink.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout{1000};
-// Pause after a failed attempt, so that a dead peer costs little.
-constexpr std::chrono::milliseconds reconnectPause{200};
 constexpr std::size_t maximumQueuedMessages = 1024;
 
 } // namespace
@@ -44,12 +41,14 @@
                    Tcp::endpoint peerAddress,
                    PeerIdentity ownIdentity,
                    InstanceName peerName,
-                   std::shared_ptr<PeerTraffic> sharedTraffic)
+                   std::shared_ptr<PeerTraffic> sharedTraffic,
+                   PeerLinkOptions linkOptions)
     : strand(Asio::make_strand(executor))
     , address(std::move(peerAddress))
     , identity(std::move(ownIdentity))
     , peer(std::move(peerName))
     , traffic(std::move(sharedTraffic))
+    , options(linkOptions)
 {
     // The link goes to one named peer; nobody else may answer at its address.
     this->identity.accepted = {this->peer};
@@ -119,14 +118,14 @@
     }
     this->connecting = true;
     Beast::tcp_stream stream(this->strand);
-    stream.expires_after(connectTimeout);
+    stream.expires_after(this->options.connectTimeout);
     auto [error] = co_await stream.async_connect(this->address, awaitResult);
     Status status = boost::outcome_v2::success();
     if (error) {
         status = makeError(ErrorKind::ConnectionFailed, "peer " + this->peer + " refused the connection: " + error.message());
     } else {
         auto session = std::make_shared<Session>(stream.release_socket(), this->strand);
-        session->channel.rawStream().expires_after(connectTimeout);
+        session->channel.rawStream().expires_after(this->options.connectTimeout);
         Result<InstanceName> name = co_await session->channel.connectAs(this->identity);
         if (name) {
             session->channel.rawStream().expires_never();
@@ -140,7 +139,7 @@
         }
     }
     if (!status) {
-        this->nextAttempt = std::chrono::steady_clock::now() + reconnectPause;
+        this->nextAttempt = std::chrono::steady_clock::now() + this->options.reconnectPause;
     }
     this->connecting = false;
     co_return status;
--- a/src/galenawell/transport/peerlink.h
+++ b/src/galenawell/transport/peerlink.h
@@ -75,6 +75,15 @@
 };
 
 // One outgoing connection to a peer, made again when it fails.
+struct PeerLinkOptions
+{
+    // Of one connection attempt. An instance without power doesn't refuse, so this is also how long its return can go
+    // unnoticed.
+    std::chrono::milliseconds connectTimeout{1000};
+    // Pause after a failed attempt, so that a dead peer costs little.
+    std::chrono::milliseconds reconnectPause{200};
+};
+
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
 public:
@@ -82,7 +91,8 @@
              Tcp::endpoint address,
              PeerIdentity identity,
              InstanceName peer,
-             std::shared_ptr<PeerTraffic> traffic);
+             std::shared_ptr<PeerTraffic> traffic,
+             PeerLinkOptions options = {});
 
     // ConnectionFailed: nothing was delivered. ConnectionLost or DeadlineExceeded: the peer may have handled the call.
     Asio::awaitable<Result<Wire::Envelope>> call(Wire::Envelope request, std::chrono::milliseconds timeout);
@@ -105,6 +115,7 @@
     PeerIdentity identity;
     InstanceName peer;
     std::shared_ptr<PeerTraffic> traffic;
+    PeerLinkOptions options;
     std::shared_ptr<Session> current;
     std::int64_t nextCorrelation = 1;
     // Calls wait for the connection attempt that is under way instead of starting another.
