Test the new decisions, the codecs of the platform, and the whole path with real processes

Cause: the first path on the platform had no tests of its own. The test of fronts without any control process found that contact counted as kept for longer than a short lease: the lease of announcements is now at least 2 s, above the gap of contact.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -28,8 +28,6 @@
 // A process that has just started takes announcements before the first front finds it.
 constexpr std::chrono::milliseconds firstContact{2500};
 constexpr std::chrono::milliseconds rememberInterval{400};
-// A replicated record of a server outlives a few renewals, since crashes are noticed sooner by the fronts' own requests.
-constexpr int leaseHeartbeats = 3;
 // Control processes that were heard within this time are named to others.
 constexpr std::chrono::milliseconds listedFor{10000};
 // Part of the data folder's file system that entries of the log leave free for snapshots and hard state.
@@ -79,9 +77,7 @@
     , events(std::move(eventLog))
     , traffic(std::make_shared<PeerTraffic>())
     , incarnation(incarnationNow())
-    , registry(RegistryOptions{.self = this->settings.peerName(),
-                               .incarnation = this->incarnation,
-                               .lease = this->settings.heartbeatInterval * leaseHeartbeats})
+    , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , fronts(FrontDirectoryOptions{})
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -16,10 +16,9 @@
 const Log logger("front");
 
 constexpr std::chrono::milliseconds tickInterval{100};
-// Without any word of a control process for this long, contact counts as lost.
-constexpr std::chrono::milliseconds contactGap{1500};
-// A replicated record of a server is kept this many renewals beyond the last word of its holder.
-constexpr int leaseHeartbeats = 3;
+// Without any word of a control process for this long, contact counts as lost. Less than any lease, so that no record
+// lapses for want of contact.
+constexpr std::chrono::milliseconds contactGap{1300};
 constexpr std::chrono::milliseconds shareStability{2000};
 // The answer's way to the caller, and its writing; kept back from objectives and deadlines.
 constexpr std::chrono::milliseconds answerReserve{15};
@@ -58,9 +57,7 @@
     , traffic(std::make_shared<PeerTraffic>())
     , client(this->executor, BackendClientOptions{.replacesCancelled = false})
     , incarnation(incarnationNow())
-    , registry(RegistryOptions{.self = this->settings.peerName(),
-                               .incarnation = this->incarnation,
-                               .lease = this->settings.heartbeatInterval * leaseHeartbeats})
+    , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , tables(RouteTableOptions{.dataCentre = this->settings.dataCentre,
                                .hedge = hedgeOptions,
                                .extraLoadPercent = this->settings.extraLoadPercent,
@@ -405,8 +402,7 @@
             this->contactSince = TimePoint();
             continue;
         }
-        const bool settled
-            = this->contactSince != TimePoint() && now - this->contactSince > this->settings.heartbeatInterval * leaseHeartbeats;
+        const bool settled = this->contactSince != TimePoint() && now - this->contactSince > this->settings.serverLease();
         if (settled && this->registry.expire(now)) {
             this->rebuild();
         }
--- a/src/galenawell/settings/nodesettings.cpp
+++ b/src/galenawell/settings/nodesettings.cpp
@@ -17,6 +17,10 @@
 constexpr std::array<Choice<std::string_view>, 4> logLevels{{{"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}}};
 constexpr DurationRange anyDuration{.minimum = std::chrono::milliseconds(1), .maximum = std::chrono::hours(1)};
 constexpr std::uint16_t defaultMetricsPort = 9464;
+// Renewals that may fail or be late; crashes are noticed sooner by the fronts' own requests.
+constexpr int leaseHeartbeats = 3;
+// Above the longest time between two words of a control process that is reached.
+constexpr std::chrono::milliseconds shortestLease{2000};
 
 bool anyText(const std::string &text)
 {
@@ -100,6 +104,11 @@
     return toString(this->peerAddress);
 }
 
+std::chrono::milliseconds NodeSettings::serverLease() const
+{
+    return std::max<std::chrono::milliseconds>(this->heartbeatInterval * leaseHeartbeats, shortestLease);
+}
+
 std::vector<InstanceName> NodeSettings::seedNames() const
 {
     std::vector<InstanceName> names;
--- a/src/galenawell/settings/nodesettings.h
+++ b/src/galenawell/settings/nodesettings.h
@@ -59,6 +59,8 @@
 
     // The name under which other processes know this one.
     InstanceName peerName() const;
+    // How long an announcement of a backend server counts without renewal.
+    std::chrono::milliseconds serverLease() const;
     // Names of the seeds, without this process.
     std::vector<InstanceName> seedNames() const;
     bool isSeed() const;
--- /dev/null
+++ b/tests/process/platform/platforminstallation.cpp
@@ -0,0 +1,368 @@
+#include "process/platform/platforminstallation.h"
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace Galenawell::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned short peerPort = 27740;
+constexpr unsigned short controlPort = 28224;
+constexpr unsigned short directoryPort = 28225;
+constexpr unsigned short callerPort = 28226;
+constexpr unsigned short readinessPort = 28227;
+constexpr unsigned short metricsPort = 29464;
+
+// Tests run at the same time, so each has a part of the loopback range of its own.
+std::string addressPrefix()
+{
+    const int process = ::getpid();
+    return "127." + std::to_string(20 + process % 200) + "." + std::to_string(1 + process / 200 % 250) + ".";
+}
+
+std::string at(const std::string &ip, unsigned short port)
+{
+    return ip + ":" + std::to_string(port);
+}
+
+} // namespace
+
+Reply call(const Call &request)
+{
+    const std::size_t colon = request.address.rfind(':');
+    const Tcp::endpoint endpoint(Asio::ip::make_address(request.address.substr(0, colon)),
+                                 static_cast<unsigned short>(std::stoul(request.address.substr(colon + 1))));
+    Asio::io_context context;
+    Beast::tcp_stream stream(context);
+    stream.expires_after(request.timeout);
+    Reply reply;
+    Asio::co_spawn(
+        context,
+        [&]() -> Asio::awaitable<void> {
+            auto [connectError] = co_await stream.async_connect(endpoint, awaitResult);
+            if (connectError) {
+                co_return;
+            }
+            Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
+            message.method_string(request.method);
+            for (const HttpHeader &header : request.headers) {
+                message.insert(header.name, header.value);
+            }
+            message.body() = request.body;
+            message.prepare_payload();
+            auto [writeError, written] = co_await Http::async_write(stream, message, awaitResult);
+            Beast::flat_buffer buffer;
+            Http::response<Http::string_body> response;
+            auto [readError, read] = co_await Http::async_read(stream, buffer, response, awaitResult);
+            if (!writeError && !readError) {
+                reply = Reply{.status = response.result_int(), .headers = copyHeaders(response), .body = response.body()};
+            }
+        },
+        Asio::detached);
+    context.run();
+    return reply;
+}
+
+bool eventually(const std::function<bool()> &condition, std::chrono::milliseconds within)
+{
+    const auto end = std::chrono::steady_clock::now() + within;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    return true;
+}
+
+// ---- Backend servers
+
+ServerStandIn::ServerStandIn(std::string serviceName, std::string serverIdentity, std::string dataCentre)
+    : service(std::move(serviceName))
+    , name(std::move(serverIdentity))
+    , zone(std::move(dataCentre))
+{
+    this->server = std::make_shared<HttpServer>(
+        this->loop.context.get_executor(),
+        HttpServerOptions{.address = anyPort()},
+        [this](HttpRequest request) { return this->handle(std::move(request)); },
+        [](RefusalReason, const std::string &) { return HttpResponse{.status = 400}; });
+    this->server->start();
+    this->address = at("127.0.0.1", this->server->address().port());
+}
+
+ServerStandIn::~ServerStandIn()
+{
+    this->server->stop();
+}
+
+std::string ServerStandIn::heartbeat(const std::string &state)
+{
+    const nlohmann::json document{{"service", this->service},
+                                  {"address", this->address},
+                                  {"zone", this->zone},
+                                  {"version", "v1"},
+                                  {"slots", 1},
+                                  {"state", state},
+                                  {"warmup_remaining_ms", 0},
+                                  {"sequence", ++this->sequence},
+                                  {"born", 1000}};
+    return document.dump();
+}
+
+const std::string &ServerStandIn::identity() const
+{
+    return this->name;
+}
+
+std::size_t ServerStandIn::runs() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::size_t total = 0;
+    for (const auto &[id, count] : this->runsById) {
+        total += count;
+    }
+    return total;
+}
+
+std::size_t ServerStandIn::runsOf(const std::string &requestId) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found = this->runsById.find(requestId);
+    return found == this->runsById.end() ? 0 : found->second;
+}
+
+void ServerStandIn::setWork(std::chrono::milliseconds duration)
+{
+    this->workMilliseconds = duration.count();
+}
+
+std::size_t ServerStandIn::abandoned() const
+{
+    return this->left;
+}
+
+Asio::awaitable<HttpResponse> ServerStandIn::handle(HttpRequest request)
+{
+    if (request.header("Expected-Instance") != this->name) {
+        co_return HttpResponse{.status = 421, .headers = {{"Not-Executed", "1"}}};
+    }
+    const std::string id(request.header("Attempt-Id"));
+    {
+        const std::lock_guard lock(this->mutex);
+        ++this->runsById[id];
+    }
+    if (const std::chrono::milliseconds work(this->workMilliseconds); work.count() > 0) {
+        Asio::steady_timer timer(co_await Asio::this_coro::executor, work);
+        request.caller->onLeave([&] {
+            ++this->left;
+            timer.cancel();
+        });
+        co_await timer.async_wait(awaitResult);
+        request.caller->onLeave(nullptr);
+    }
+    HttpResponse response{.contentType = "application/octet-stream", .body = this->name + std::string(16 - this->name.size() % 16, '.')};
+    response.headers = {{"Attempt-Id", id}, {"Server-Stamp", this->name + "." + id}, {"Server-Load", "0,0,1"}};
+    co_return response;
+}
+
+// ---- Processes
+
+PlatformInstallation::PlatformInstallation(std::size_t controls, std::size_t fronts)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "galenawell-platform-XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    for (std::size_t index = 1; index <= controls; ++index) {
+        this->members.push_back({.name = "control" + std::to_string(index), .ip = addressPrefix() + std::to_string(index), .front = false});
+    }
+    for (std::size_t index = 1; index <= fronts; ++index) {
+        this->members.push_back(
+            {.name = "front" + std::to_string(index), .ip = addressPrefix() + std::to_string(100 + index), .front = true});
+    }
+}
+
+PlatformInstallation::~PlatformInstallation()
+{
+    for (const Member &each : this->members) {
+        if (each.process != 0) {
+            this->stop(each.name, SIGKILL);
+        }
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+const PlatformInstallation::Member &PlatformInstallation::member(const std::string &name) const
+{
+    return *std::ranges::find(this->members, name, &Member::name);
+}
+
+std::vector<std::string> PlatformInstallation::namesOf(bool front) const
+{
+    std::vector<std::string> names;
+    for (const Member &each : this->members) {
+        if (each.front == front) {
+            names.push_back(each.name);
+        }
+    }
+    return names;
+}
+
+std::vector<std::string> PlatformInstallation::controls() const
+{
+    return this->namesOf(false);
+}
+
+std::vector<std::string> PlatformInstallation::fronts() const
+{
+    return this->namesOf(true);
+}
+
+std::string PlatformInstallation::controlAddress(const std::string &name) const
+{
+    return at(this->member(name).ip, controlPort);
+}
+
+std::string PlatformInstallation::directoryAddress(const std::string &name) const
+{
+    return at(this->member(name).ip, directoryPort);
+}
+
+std::string PlatformInstallation::callerAddress(const std::string &name) const
+{
+    return at(this->member(name).ip, callerPort);
+}
+
+std::string PlatformInstallation::readinessAddress(const std::string &name) const
+{
+    return at(this->member(name).ip, readinessPort);
+}
+
+void PlatformInstallation::setFounding(bool founds)
+{
+    this->founding = founds;
+}
+
+void PlatformInstallation::writeSettings(const Member &each) const
+{
+    nlohmann::json settings{{"instance", each.name},
+                            {"role", each.front ? "front" : "control"},
+                            {"dataCentre", "z" + each.name.substr(each.name.size() - 1)},
+                            {"peerAddress", at(each.ip, peerPort)},
+                            {"metricsAddress", at(each.ip, metricsPort)},
+                            {"peerKey", "test"},
+                            {"foundInstallation", this->founding},
+                            {"heartbeatIntervalMs", 500}};
+    for (int seed = 1; seed <= 3; ++seed) {
+        settings["seeds"].push_back(at(addressPrefix() + std::to_string(seed), controlPort));
+    }
+    if (each.front) {
+        settings["callerAddress"] = at(each.ip, callerPort);
+        settings["readinessAddress"] = at(each.ip, readinessPort);
+    } else {
+        settings["controlAddress"] = at(each.ip, controlPort);
+        settings["directoryAddress"] = at(each.ip, directoryPort);
+        settings["dataFolder"] = (this->folder / each.name).string();
+    }
+    std::ofstream(this->folder / (each.name + ".json")) << settings.dump();
+}
+
+void PlatformInstallation::start(const std::string &name)
+{
+    Member &each = *std::ranges::find(this->members, name, &Member::name);
+    this->writeSettings(each);
+    const std::string program = std::string(std::getenv("GALENAWELL_BIN")) + "/galenawell-node";
+    const std::string variable = "GALENAWELL_NODE_FILE=" + (this->folder / (name + ".json")).string();
+    const std::string log = (this->folder / (name + ".log")).string();
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    std::vector<char *> arguments{const_cast<char *>(program.c_str()), nullptr};
+    std::vector<char *> environment{const_cast<char *>(variable.c_str()), nullptr};
+    posix_spawn(&each.process, program.c_str(), &actions, nullptr, arguments.data(), environment.data());
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+void PlatformInstallation::startAll()
+{
+    for (const Member &each : this->members) {
+        this->start(each.name);
+    }
+}
+
+bool PlatformInstallation::stop(const std::string &name, int signal, std::chrono::milliseconds within)
+{
+    Member &each = *std::ranges::find(this->members, name, &Member::name);
+    ::kill(each.process, signal);
+    const bool ended = eventually([&each] { return ::waitpid(each.process, nullptr, WNOHANG) == each.process; }, within);
+    if (ended) {
+        each.process = 0;
+    }
+    return ended;
+}
+
+void PlatformInstallation::wipe(const std::string &name)
+{
+    std::filesystem::remove_all(this->folder / name);
+}
+
+Reply PlatformInstallation::putConfiguration(const std::string &control, const nlohmann::json &configuration) const
+{
+    return call({.address = this->controlAddress(control), .method = "PUT", .target = "/v1/configuration", .body = configuration.dump()});
+}
+
+bool PlatformInstallation::acknowledged(const nlohmann::json &configuration) const
+{
+    return eventually([&] {
+        const std::vector<std::string> names = this->controls();
+        return std::ranges::any_of(names,
+                                   [&](const std::string &name) { return this->putConfiguration(name, configuration).status == 200; });
+    });
+}
+
+Reply PlatformInstallation::getConfiguration(const std::string &control) const
+{
+    return call({.address = this->controlAddress(control), .target = "/v1/configuration"});
+}
+
+bool PlatformInstallation::announce(ServerStandIn &server, const std::string &state) const
+{
+    const std::vector<std::string> names = this->controls();
+    return std::ranges::any_of(names, [&](const std::string &name) {
+        return call({.address = this->controlAddress(name),
+                     .method = "PUT",
+                     .target = "/v1/instances/" + server.identity(),
+                     .body = server.heartbeat(state),
+                     .timeout = 1000ms})
+                   .status
+            == 200;
+    });
+}
+
+std::string PlatformInstallation::leader() const
+{
+    for (const Member &each : this->members) {
+        if (each.front || each.process == 0) {
+            continue;
+        }
+        const Reply metrics = call({.address = at(each.ip, metricsPort), .target = "/metrics"});
+        const std::size_t line = metrics.body.find("\ngalenawell_is_leader{");
+        if (line != std::string::npos && metrics.body.substr(metrics.body.find('}', line), 3) == "} 1") {
+            return each.name;
+        }
+    }
+    return {};
+}
+
+} // namespace Galenawell::Testing
--- a/tests/unit/configuration/test_configurationhistory.cpp
+++ b/tests/unit/configuration/test_configurationhistory.cpp
@@ -69,3 +69,18 @@
     cr_assert(history.digestOf(1) == "aa");
     cr_assert(history.newestDigest() == "bb");
 }
+
+// Guards against a late change taking the place of a newer one, and against a resend being refused, where numbers rise in
+// uneven steps.
+Test(configurationhistory, the_highest_number_wins_and_lower_ones_change_nothing)
+{
+    ConfigurationHistory history(ConfigurationNumbering::Highest);
+    cr_assert(history.propose(proposalOf(7, "aa")).verdict == ProposalVerdict::Accepted);
+    cr_assert(history.propose(proposalOf(12, "bb")).verdict == ProposalVerdict::Accepted);
+    cr_assert(history.propose(proposalOf(9, "cc")).verdict == ProposalVerdict::AlreadyAccepted);
+    cr_assert(history.propose(proposalOf(12, "dd")).verdict == ProposalVerdict::AlreadyAccepted);
+    cr_assert(history.newestNumber() == 12);
+    cr_assert(history.newestContent() == "content bb");
+    cr_assert(history.digestOf(12) == "bb");
+    cr_assert(history.digestOf(7).empty());
+}
--- /dev/null
+++ b/tests/unit/platform/test_manifestcodec.cpp
@@ -0,0 +1,77 @@
+#include "platform/manifestcodec.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+using namespace Galenawell;
+
+namespace {
+
+nlohmann::json manifest()
+{
+    return nlohmann::json::parse(R"({"version":7,"routes":[
+        {"name":"wide","host":"h.example","path_prefix":"/w/","kind":"safe","timeout_ms":1200,"target_latency_ms":120,"priority":1,
+         "fanout_services":["s1","s2"],"max_attempts":2,"result_limit":10,"minimum_success_share":0.89},
+        {"name":"one","host":"h.example","path_prefix":"/o/","kind":"unsafe","timeout_ms":5000,"target_latency_ms":1000,"priority":2,
+         "service":"s3","max_attempts":3},
+        {"name":"split","host":"h.example","path_prefix":"/s/","kind":"safe","timeout_ms":5000,
+         "traffic_split":[{"service":"s1","weight":3},{"service":"s3","weight":1}]}],
+        "services":[{"name":"s1","health_check_path":"/health","connection_limit":31,"protocol":"h1","use_tls":false},
+                    {"name":"s2","connection_limit":31},{"name":"s3","connection_limit":43}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+}
+
+bool refused(const nlohmann::json &document)
+{
+    return !Platform::parseManifest(document.dump()).has_value();
+}
+
+} // namespace
+
+// Guards against a field being read into the wrong value.
+Test(manifestcodec, every_field_reaches_the_plan)
+{
+    const Result<RoutePlan> parsed = Platform::parseManifest(manifest().dump());
+    cr_assert(parsed.has_value(), "%s", parsed.has_value() ? "" : parsed.error().detail.c_str());
+    const RoutePlan &plan = parsed.value();
+    cr_assert(plan.number() == 7);
+    const Route *wide = plan.find("h.example", "/w/1");
+    cr_assert(wide->idempotent && wide->merges() && wide->groups.size() == 2 && wide->recordLimit == 10 && wide->maximumRuns == 2);
+    cr_assert(wide->timeout == std::chrono::milliseconds(1200) && wide->latencyObjective == std::chrono::milliseconds(120));
+    cr_assert(wide->rank == 1 && wide->leastGroups() == 2);
+    const Route *one = plan.find("h.example", "/o/1");
+    cr_assert(!one->idempotent && !one->merges() && one->services.front().service == "s3" && one->priority() == Priority::Bulk);
+    const Route *split = plan.find("h.example", "/s/1");
+    cr_assert(split->services.size() == 2 && split->services[0].weight == 3 && split->latencyObjective == split->timeout);
+    cr_assert(plan.services().at("s3").connectionLimit == 43);
+    cr_assert(plan.limits().idleTimeout == std::chrono::seconds(15));
+}
+
+// Guards against an invalid document being acknowledged, each kind that operators may send.
+Test(manifestcodec, invalid_documents_are_refused)
+{
+    const std::string whole = manifest().dump();
+    for (std::size_t length = 0; length < whole.size(); length += 7) {
+        cr_assert(!Platform::parseManifest(whole.substr(0, length)).has_value());
+    }
+    nlohmann::json unknownService = manifest();
+    unknownService["routes"][1]["service"] = "nobody";
+    cr_assert(refused(unknownService));
+    nlohmann::json samePlace = manifest();
+    samePlace["routes"][1]["path_prefix"] = "/w/";
+    cr_assert(refused(samePlace));
+    nlohmann::json noWeight = manifest();
+    noWeight["routes"][2]["traffic_split"][0]["weight"] = 0;
+    noWeight["routes"][2]["traffic_split"][1]["weight"] = 0;
+    cr_assert(refused(noWeight));
+    nlohmann::json noTimeout = manifest();
+    noTimeout["routes"][0]["timeout_ms"] = 0;
+    cr_assert(refused(noTimeout));
+    nlohmann::json wrongType = manifest();
+    wrongType["routes"][0]["timeout_ms"] = "soon";
+    cr_assert(refused(wrongType));
+    nlohmann::json noVersion = manifest();
+    noVersion.erase("version");
+    cr_assert(refused(noVersion));
+    cr_assert(refused(nlohmann::json::array()));
+}
