Share observations of slow servers among fronts, hedge before latencies are learnt, send views once

HedgePolicy has an unlearnt delay of a third of the objective. A front takes views and lists from one control process of its data centre while that keeps up. A budget begins with 0.3 of its fixed number. A far replica must be 1.6 times better.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -209,10 +209,14 @@
     9: required i64 registryThrough
     10: required i64 waitMs
     11: required list<CrashEvidenceMessage> evidence
-    // Pieces of evidence that the sender has had from the receiver.
-    12: required i64 evidenceThrough
+    // Version of the receiver's list of slow servers that the sender has; 0 for none.
+    12: required i64 slowVersion
     // Of the log member, if the sender is a control process that has one.
     13: optional i64 identity
+    // Addresses of backend servers with subrequests that took far longer than usual, since the sender's last subscription.
+    14: optional list<string> outliers
+    // False: the sender gets the view from another control process.
+    15: optional bool wantsView
 }
 
 struct SubscriptionReply {
@@ -224,10 +228,16 @@
     4: required list<string> controls
     5: required i32 liveFronts
     6: required list<CrashEvidenceMessage> evidence
-    7: required i64 evidenceThrough
+    // Version of the list of slow servers.
+    7: required i64 slowVersion
     // Identities of the log's members; empty while the sender knows no log.
     8: required list<i64> members
     9: required string leader
+    // Addresses of backend servers that many fronts find slow, if the sender's version is another.
+    10: optional list<string> slow
+    // Newest revision that the sender knows, with or without the view.
+    11: optional i64 revision
+    12: optional string dataCentre
 }
 
 struct DrainRequest {
--- a/src/galenawell/configuration/configuration.h
+++ b/src/galenawell/configuration/configuration.h
@@ -44,6 +44,10 @@
     double budgetPercent = 5.0;
     double quantile = 0.95;
     std::chrono::milliseconds minimumDelay{5};
+    // Replies before the quantile counts as known, and the delay until then: long enough that only what is most likely
+    // lost is hedged.
+    std::uint32_t learningSamples = 100;
+    std::chrono::milliseconds unlearntDelay{1000};
 };
 
 struct ServiceOptions
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -79,6 +79,7 @@
     , incarnation(incarnationNow())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , fronts(FrontDirectoryOptions{})
+    , slowServers(SlowServersOptions{})
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
 {
@@ -280,6 +281,7 @@
             this->notifyChange();
         }
         this->remember(now);
+        this->logSlowServers(now);
         if (led != this->leads()) {
             led = this->leads();
             this->leaderSince = now;
@@ -299,6 +301,17 @@
     }
 }
 
+void ControlMember::logSlowServers(TimePoint now)
+{
+    const std::vector<std::string> &slow = this->slowServers.list(now);
+    if (this->slowServers.version() != this->loggedSlowVersion) {
+        this->loggedSlowVersion = this->slowServers.version();
+        this->events->write(
+            EventKind::State,
+            Event("slow_servers").number("count", static_cast<std::int64_t>(slow.size())).text("first", slow.empty() ? "" : slow.front()));
+    }
+}
+
 void ControlMember::recall()
 {
     std::optional<RecoveryHint> hint = this->recoveryFile.read();
@@ -465,7 +478,8 @@
 
 bool ControlMember::hasNews(const Wire::Subscription &subscription) const
 {
-    const bool newerView = this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision);
+    const bool wantsView = !subscription.__isset.wantsView || subscription.wantsView;
+    const bool newerView = wantsView && this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision);
     const bool sameRun = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
     return newerView || !sameRun || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
 }
@@ -480,6 +494,9 @@
                                         .dataCentre = subscription.dataCentre,
                                         .accepting = subscription.accepting},
                             now);
+        for (const std::string &address : subscription.outliers) {
+            this->slowServers.report(address, peer, now);
+        }
     } else {
         this->subscriptions->add(peer);
     }
@@ -494,8 +511,10 @@
 {
     Wire::SubscriptionReply reply;
     reply.incarnation = static_cast<std::int64_t>(this->incarnation);
-    reply.evidenceThrough = 0;
-    if (this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision)) {
+    reply.__set_revision(this->view == nullptr ? 0 : static_cast<std::int64_t>(this->view->revision));
+    reply.__set_dataCentre(this->settings.dataCentre);
+    const bool wantsView = !subscription.__isset.wantsView || subscription.wantsView;
+    if (wantsView && this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision)) {
         reply.__set_view(encodeControlView(*this->view));
     }
     const bool sameRun = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
@@ -511,6 +530,11 @@
     }
     reply.liveFronts = static_cast<std::int32_t>(this->fronts.liveCount(now));
     reply.leader = this->status.leaderInstance;
+    const std::vector<std::string> &slow = this->slowServers.list(now);
+    reply.slowVersion = this->slowServers.version();
+    if (subscription.front && (!sameRun || reply.slowVersion != subscription.slowVersion)) {
+        reply.__set_slow(slow);
+    }
     return reply;
 }
 
@@ -526,7 +550,7 @@
     const auto [holderRun, through] = this->registry.latestRunOf(control);
     subscription.registryIncarnation = static_cast<std::int64_t>(holderRun);
     subscription.registryThrough = static_cast<std::int64_t>(through);
-    subscription.evidenceThrough = 0;
+    subscription.slowVersion = 0;
     return subscription;
 }
 
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -8,6 +8,7 @@
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
+#include "galenawell/registry/slowservers.h"
 #include "galenawell/settings/nodesettings.h"
 #include "galenawell/telemetry/eventlog.h"
 #include "galenawell/telemetry/metrics.h"
@@ -79,6 +80,7 @@
     // Takes over what an earlier run of this process knew.
     void recall();
     void remember(TimePoint now);
+    void logSlowServers(TimePoint now);
     // Asks for a place in the log while this process has none.
     Asio::awaitable<void> joinLoop();
     Asio::awaitable<void> planVoters();
@@ -100,6 +102,8 @@
     const Incarnation incarnation;
     BackendRegistry registry;
     FrontDirectory fronts;
+    SlowServers slowServers;
+    std::int64_t loggedSlowVersion = 1;
     RecoveryFile recoveryFile;
     TimePoint rememberedAt;
     bool changedSinceRemembered = false;
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -20,6 +20,8 @@
 // lapses for want of contact.
 constexpr std::chrono::milliseconds contactGap{1300};
 constexpr std::chrono::milliseconds shareStability{2000};
+// A newer view that the usual source doesn't send within this time is asked for everywhere.
+constexpr std::chrono::milliseconds viewPatience{250};
 // The answer's way to the caller, and its writing; kept back from objectives and deadlines.
 constexpr std::chrono::milliseconds answerReserve{15};
 // A caller that is refused for lack of a server or a place may return after this time; servers renew their announcements
@@ -33,7 +35,13 @@
 constexpr std::chrono::milliseconds graceReserve{900};
 constexpr std::chrono::milliseconds shutdownPoll{50};
 // Learnt latencies of servers that stand still now and then: hedge what exceeds the usual by far.
-constexpr HedgeOptions hedgeOptions{.enabled = true, .budgetPercent = 0, .quantile = 0.93, .minimumDelay = std::chrono::milliseconds(5)};
+constexpr HedgeOptions hedgeOptions{.enabled = true,
+                                    .budgetPercent = 0,
+                                    .quantile = 0.93,
+                                    .minimumDelay = std::chrono::milliseconds(5),
+                                    .learningSamples = 100};
+// Until the latencies of a route are known, a hedge still has most of the objective for its own reply.
+constexpr int unlearntDivisor = 3;
 
 Incarnation incarnationNow()
 {
@@ -195,7 +203,9 @@
 {
     std::shared_ptr<HedgePolicy> &known = this->hedges[route.name];
     if (known == nullptr) {
-        known = std::make_shared<HedgePolicy>(hedgeOptions);
+        HedgeOptions options = hedgeOptions;
+        options.unlearntDelay = route.latencyObjective / unlearntDivisor;
+        known = std::make_shared<HedgePolicy>(options);
     }
     return known;
 }
@@ -308,10 +318,58 @@
     const auto [run, through] = this->registry.latestRunOf(control);
     subscription.registryIncarnation = static_cast<std::int64_t>(run);
     subscription.registryThrough = static_cast<std::int64_t>(through);
-    subscription.evidenceThrough = 0;
+    const TimePoint now = MonotonicClock::now();
+    ControlKnowledge &known = this->controls[control];
+    subscription.slowVersion = known.slowVersion;
+    subscription.__set_outliers(this->tables.outliersSince(known.reportedUntil));
+    known.reportedUntil = now;
+    subscription.__set_wantsView(this->wantsViewFrom(control, now));
     return subscription;
 }
 
+// Views are large and the same everywhere, so one control process sends them while it keeps up with the others.
+bool RoutedFront::wantsViewFrom(const InstanceName &control, TimePoint now) const
+{
+    const bool lags = this->namedRevision > this->revision && now - this->namedAt > viewPatience;
+    return this->revision == 0 || this->source.empty() || control == this->source || lags;
+}
+
+void RoutedFront::chooseSource(TimePoint now)
+{
+    const std::vector<InstanceName> heard = this->subscriptions->heardWithin(contactGap, now);
+    const auto cost = [this](const InstanceName &name) {
+        // Among equally near ones, fronts spread over the control processes.
+        return std::pair(this->controls[name].dataCentre != this->settings.dataCentre,
+                         std::hash<std::string>()(name + this->settings.instance));
+    };
+    const auto nearest = std::ranges::min_element(heard, std::less<>(), cost);
+    const InstanceName chosen = nearest == heard.end() ? InstanceName() : *nearest;
+    if (chosen != this->source) {
+        this->source = chosen;
+        if (!chosen.empty()) {
+            this->tables.setSlow(this->controls[chosen].slow);
+        }
+    }
+}
+
+void RoutedFront::learnFrom(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now)
+{
+    ControlKnowledge &known = this->controls[control];
+    known.dataCentre = reply.dataCentre;
+    known.slowVersion = reply.slowVersion;
+    if (reply.__isset.slow) {
+        known.slow = reply.slow;
+        if (control == this->source) {
+            this->tables.setSlow(known.slow);
+        }
+    }
+    if (static_cast<std::uint64_t>(reply.revision) > this->namedRevision) {
+        this->namedRevision = static_cast<std::uint64_t>(reply.revision);
+        this->namedAt = now;
+    }
+    this->chooseSource(now);
+}
+
 void RoutedFront::handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint)
 {
     const TimePoint now = MonotonicClock::now();
@@ -329,6 +387,7 @@
             logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
         }
     }
+    this->learnFrom(control, reply, now);
     const std::size_t counted = this->liveFronts.update(static_cast<std::size_t>(std::max(1, reply.liveFronts)), now);
     if (counted != this->frontCount) {
         this->frontCount = counted;
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -54,6 +54,9 @@
 
     Wire::Subscription subscriptionFor(const InstanceName &control);
     void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint askedAt);
+    void learnFrom(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now);
+    void chooseSource(TimePoint now);
+    bool wantsViewFrom(const InstanceName &control, TimePoint now) const;
     void install(const ControlView &view);
     void rebuild();
     Asio::awaitable<void> tickLoop();
@@ -84,6 +87,22 @@
     std::map<std::string, std::vector<double>> credits;
     // Latencies of subrequests by route: each kind of request has its own work.
     std::map<std::string, std::shared_ptr<HedgePolicy>> hedges;
+    // What is known of one control process.
+    struct ControlKnowledge
+    {
+        std::string dataCentre;
+        // Until when outliers were reported to it.
+        TimePoint reportedUntil;
+        std::int64_t slowVersion = 0;
+        std::vector<std::string> slow;
+    };
+
+    std::map<InstanceName, ControlKnowledge> controls;
+    // The control process whose views and list of slow servers are used; the others are asked only while it lags.
+    InstanceName source;
+    // The newest revision that any control process named, and since when it is missing here.
+    std::uint64_t namedRevision = 0;
+    TimePoint namedAt;
     std::uint64_t nextSeed = 1;
     bool rebuildNeeded = false;
     bool draining = false;
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -15,6 +15,9 @@
 // The part of the window's fixed number: fronts come and go within a window.
 constexpr double slackPart = 0.75;
 
+// A budget begins with this part of its fixed number, so that all fronts may restart within one window.
+constexpr double firstPart = 0.3;
+
 } // namespace
 
 std::vector<BackendRecord> latestAtEachAddress(const std::vector<BackendRecord> &records)
@@ -63,6 +66,25 @@
     return known;
 }
 
+std::vector<std::string> RouteTables::outliersSince(TimePoint after) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[key, known] : this->servers) {
+        if (known.health->lastOutlier() > after) {
+            addresses.push_back(key.address);
+        }
+    }
+    return addresses;
+}
+
+void RouteTables::setSlow(const std::vector<std::string> &addresses)
+{
+    this->slowAddresses = std::set<std::string>(addresses.begin(), addresses.end());
+    for (const auto &[key, known] : this->servers) {
+        known.health->setSlow(this->slowAddresses.contains(key.address));
+    }
+}
+
 void RouteTables::forgetServers(const std::vector<BackendRecord> &records)
 {
     std::set<ReplicaKey> present;
@@ -96,6 +118,7 @@
             known = KnownServer{.incarnation = record.incarnation, .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now)};
         }
         known.health->setAccepting(record.state == BackendState::Ready);
+        known.health->setSlow(this->slowAddresses.contains(record.key.address));
         replicas[record.key.service].push_back(
             Replica{.record = record, .health = known.health, .share = connectionShare(service->second.connectionLimit, fronts)});
     }
@@ -150,6 +173,9 @@
     const double tokens = std::max(1.0, this->options.extraLoadSlack * slackPart / static_cast<double>(fronts));
     for (const auto &[name, shared] : this->policies) {
         shared->retries.setCapacity(tokens);
+        if (this->granted.insert(name).second) {
+            shared->retries.grant(tokens * firstPart);
+        }
     }
     return table;
 }
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +37,11 @@
     static std::string tableName(const std::string &service);
     static std::string tableName(const std::vector<std::string> &groups);
 
+    // Addresses of servers with a subrequest that took far longer than usual and ended after the time.
+    std::vector<std::string> outliersSince(TimePoint after) const;
+    // Replaces the servers that fronts together find slow.
+    void setSlow(const std::vector<std::string> &addresses);
+
     std::shared_ptr<ServicePolicies> policiesOf(const std::string &service);
 
 private:
@@ -54,7 +60,10 @@
 
     RouteTableOptions options;
     std::map<ReplicaKey, KnownServer> servers;
+    std::set<std::string> slowAddresses;
     std::map<std::string, std::shared_ptr<ServicePolicies>> policies;
+    // Services whose budget has its first tokens.
+    std::set<std::string> granted;
 };
 
 // One record for each address: addresses are used again, and the latest start at an address is the one that answers there.
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -23,6 +23,9 @@
 // Budget is earned by other queries, so looking for it more often only costs processor time.
 constexpr std::chrono::milliseconds budgetWaitTime{25};
 
+// A subrequest that takes this many times the delay of a hedge isn't the usual tail.
+constexpr int outlierFactor = 2;
+
 // A bulk group that has waited this long looks as often as a standard one, so that bulk work keeps running.
 constexpr std::chrono::milliseconds patience{100};
 
@@ -437,11 +440,19 @@
     return taken;
 }
 
+bool Scatter::isOutlier(const GroupProgress &progress, std::chrono::microseconds latency) const
+{
+    return this->options.idempotent && latency >= outlierFactor * this->hedgeOf(progress).delay();
+}
+
 void Scatter::cancelPending(GroupProgress &progress, TimePoint now, ScatterActions &actions)
 {
     while (!progress.pending.empty()) {
         const Pending pending = *this->takePending(progress.pending.back().subrequestId);
         actions.cancel.push_back(pending.subrequestId);
+        if (this->isOutlier(progress, elapsed(pending.sentAt, now))) {
+            pending.replica->health->noteOutlier(now);
+        }
         pending.replica->health->recordLatencyAtLeast(elapsed(pending.sentAt, now), now);
     }
 }
@@ -482,6 +493,9 @@
 {
     GroupProgress &progress = this->groups[index];
     pending.replica->health->recordSuccess(latency, now);
+    if (this->isOutlier(progress, latency)) {
+        pending.replica->health->noteOutlier(now);
+    }
     this->hedgeOf(progress).recordLatency(latency);
     progress.done = true;
     --this->unfinished;
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -244,6 +244,8 @@
     void send(std::size_t index, const Replica &replica, bool isHedge, TimePoint now, ScatterActions &actions);
 
     std::optional<Pending> takePending(std::uint64_t subrequestId);
+    // Whether the subrequest takes, or took, so long that it speaks for a slow replica.
+    bool isOutlier(const GroupProgress &progress, std::chrono::microseconds latency) const;
     void cancelPending(GroupProgress &progress, TimePoint now, ScatterActions &actions);
     void acceptReply(std::size_t index, const Pending &pending, std::chrono::microseconds latency, TimePoint now, ScatterActions &actions);
     void
--- a/src/galenawell/routing/hedgepolicy.cpp
+++ b/src/galenawell/routing/hedgepolicy.cpp
@@ -11,10 +11,6 @@
 // The bucket holds what this many subrequests earn.
 constexpr std::int64_t rememberedSubrequests = 1000;
 
-// Before this many samples the quantile isn't known.
-constexpr std::uint32_t learningSamples = 100;
-// Long enough that nothing is hedged before the quantile is known, except what is most likely lost.
-constexpr std::chrono::microseconds unlearntDelay = std::chrono::seconds(1);
 // The long delay is exceeded this many times less often: 1 % instead of 5 % of the subrequests.
 constexpr double longDelayRarity = 5.0;
 // Samples after which the histogram is halved: old latencies fade within a few thousand subrequests.
@@ -80,6 +76,12 @@
     }
 }
 
+void ExtraLoadBudget::grant(double tokens)
+{
+    this->milliTokens.fetch_add(std::llround(tokens * milliPerToken), std::memory_order_relaxed);
+    this->dropExcess();
+}
+
 bool ExtraLoadBudget::spend()
 {
     std::int64_t held = this->milliTokens.load(std::memory_order_relaxed);
@@ -125,8 +127,8 @@
 HedgePolicy::HedgePolicy(const HedgeOptions &hedgeOptions)
     : options(hedgeOptions)
     , budget(hedgeOptions.budgetPercent)
-    , cachedDelay(unlearntDelay.count())
-    , cachedLongDelay(unlearntDelay.count())
+    , cachedDelay(std::chrono::microseconds(hedgeOptions.unlearntDelay).count())
+    , cachedLongDelay(std::chrono::microseconds(hedgeOptions.unlearntDelay).count())
 {
 }
 
@@ -138,7 +140,7 @@
     }
     const std::uint32_t count = previous.samples.load(std::memory_order_relaxed);
     this->samples.store(count, std::memory_order_relaxed);
-    if (count >= learningSamples) {
+    if (count >= this->options.learningSamples) {
         this->refreshDelays();
     }
 }
@@ -147,7 +149,8 @@
 {
     this->buckets.at(bucketOf(latency, bucketCount)).fetch_add(1, std::memory_order_relaxed);
     const std::uint32_t count = this->samples.fetch_add(1, std::memory_order_relaxed) + 1;
-    if (count >= learningSamples && count % refreshInterval == 0) {
+    const bool due = count % refreshInterval == 0 || count == this->options.learningSamples;
+    if (count >= this->options.learningSamples && due) {
         this->refreshDelays();
     }
     // Exactly one thread sees this count.
--- a/src/galenawell/routing/hedgepolicy.h
+++ b/src/galenawell/routing/hedgepolicy.h
@@ -19,6 +19,8 @@
     explicit ExtraLoadBudget(double percent);
     // Holds up to the given number of tokens and begins empty, so that a process that restarts adds nothing.
     ExtraLoadBudget(double percent, double tokens);
+    // Adds tokens, up to the capacity.
+    void grant(double tokens);
 
     void earn();
     bool spend();
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -12,7 +12,7 @@
 // A replica is slow if its average latency is more than this many times that of the fastest.
 constexpr int slowFactor = 4;
 // How many times better than a near replica a far one must be, for the time and the bytes of the way.
-constexpr double farFactor = 1.3;
+constexpr double farFactor = 1.6;
 // Replicas of a group that may be ejected or on probation at once: one in this many.
 constexpr std::size_t ejectionDivisor = 3;
 
@@ -202,7 +202,8 @@
         const BackendRecord &record = candidate.replica->record;
         const bool tried = contains(query.tried, record.key.address);
         const bool avoided = query.avoidDataCentre && record.dataCentre == *query.avoidDataCentre;
-        const std::size_t untriedTier = avoided || candidate.replica->health->overdue(now) ? 1 : 0;
+        const bool slow = candidate.replica->health->overdue(now) || candidate.replica->health->slow();
+        const std::size_t untriedTier = avoided || slow ? 1 : 0;
         tiers.at(tried ? 2 : untriedTier).push_back(candidate);
     }
     if (query.excludeTried) {
--- a/src/galenawell/routing/replicahealth.cpp
+++ b/src/galenawell/routing/replicahealth.cpp
@@ -182,6 +182,26 @@
     this->overdueSince.store(toTicks(now), std::memory_order_relaxed);
 }
 
+void ReplicaHealth::noteOutlier(TimePoint now)
+{
+    this->lastOutlierAt.store(toTicks(now), std::memory_order_relaxed);
+}
+
+TimePoint ReplicaHealth::lastOutlier() const
+{
+    return fromTicks(this->lastOutlierAt.load(std::memory_order_relaxed));
+}
+
+void ReplicaHealth::setSlow(bool isSlow)
+{
+    this->foundSlow.store(isSlow, std::memory_order_relaxed);
+}
+
+bool ReplicaHealth::slow() const
+{
+    return this->foundSlow.load(std::memory_order_relaxed);
+}
+
 bool ReplicaHealth::overdue(TimePoint now) const
 {
     const std::int64_t since = this->overdueSince.load(std::memory_order_relaxed);
--- a/src/galenawell/routing/replicahealth.h
+++ b/src/galenawell/routing/replicahealth.h
@@ -67,6 +67,12 @@
     // A subrequest takes longer than nearly all others: the replica may stand still. Ends with its next reply.
     void noteOverdue(TimePoint now);
     bool overdue(TimePoint now) const;
+    // A subrequest took far longer than usual, whether or not its reply was awaited.
+    void noteOutlier(TimePoint now);
+    TimePoint lastOutlier() const;
+    // Set while fronts together find the replica slow.
+    void setSlow(bool isSlow);
+    bool slow() const;
 
     bool ejected(TimePoint now) const;
     TimePoint ejectionEnd() const;
@@ -97,6 +103,8 @@
     std::atomic<std::int64_t> succeededAt{0};
     std::atomic<std::int64_t> heldOffUntil{0};
     std::atomic<std::int64_t> overdueSince{0};
+    std::atomic<std::int64_t> lastOutlierAt{0};
+    std::atomic<bool> foundSlow{false};
     // Moving average of failed or refused subrequests, in millionths, and when it was last updated.
     std::atomic<std::int64_t> failureShare{0};
     std::atomic<std::int64_t> failureShareAt{0};
