Save the extra-load budget for retries: hedge later, and weigh slow servers instead of ranking them last

Change: a server found slow counts four times, an overdue one ten times worse; hedges from the 96th percentile, or half of the objective while unlearnt.

--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -37,11 +37,11 @@
 // Learnt latencies of servers that stand still now and then: hedge what exceeds the usual by far.
 constexpr HedgeOptions hedgeOptions{.enabled = true,
                                     .budgetPercent = 0,
-                                    .quantile = 0.93,
+                                    .quantile = 0.96,
                                     .minimumDelay = std::chrono::milliseconds(5),
                                     .learningSamples = 100};
 // Until the latencies of a route are known, a hedge still has most of the objective for its own reply.
-constexpr int unlearntDivisor = 3;
+constexpr int unlearntDivisor = 2;
 
 Incarnation incarnationNow()
 {
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -11,8 +11,13 @@
 constexpr double rampFloor = 0.1;
 // A replica is slow if its average latency is more than this many times that of the fastest.
 constexpr int slowFactor = 4;
+// How much worse a replica counts that fronts together found slow. Not more, or the sound replicas of a group whose others
+// refuse most work, which are slow under that load, would be left for those.
+constexpr double foundSlowFactor = 4.0;
+// How much worse a replica counts with a subrequest that is overdue: it may stand still.
+constexpr double overdueFactor = 10.0;
 // How many times better than a near replica a far one must be, for the time and the bytes of the way.
-constexpr double farFactor = 1.6;
+constexpr double farFactor = 1.4;
 // Replicas of a group that may be ejected or on probation at once: one in this many.
 constexpr std::size_t ejectionDivisor = 3;
 
@@ -77,7 +82,9 @@
     {
         const bool far = this->query.nearDataCentre && replica.record.dataCentre != *this->query.nearDataCentre;
         const double distance = far ? farFactor : 1.0;
-        return distance * replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
+        const double standing = replica.health->overdue(this->now) ? overdueFactor : 1.0;
+        const double slowness = std::max(standing, replica.health->slow() ? foundSlowFactor : 1.0);
+        return distance * slowness * replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
     }
 
     // Moves the best one of a few random candidates to the front.
@@ -196,14 +203,13 @@
         removeSlow(fitting, now);
     }
 
-    // Untried; untried but overdue, or where it shouldn't be; tried before.
+    // Untried elsewhere, untried here, tried before.
     std::array<std::vector<Candidate>, 3> tiers;
     for (const Candidate &candidate : fitting) {
         const BackendRecord &record = candidate.replica->record;
         const bool tried = contains(query.tried, record.key.address);
         const bool avoided = query.avoidDataCentre && record.dataCentre == *query.avoidDataCentre;
-        const bool slow = candidate.replica->health->overdue(now) || candidate.replica->health->slow();
-        const std::size_t untriedTier = avoided || slow ? 1 : 0;
+        const std::size_t untriedTier = avoided ? 1 : 0;
         tiers.at(tried ? 2 : untriedTier).push_back(candidate);
     }
     if (query.excludeTried) {
