--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -270,6 +270,7 @@
         const TimePoint now = MonotonicClock::now();
         const bool registryChanged = this->registry.expire(now);
         this->fronts.expire(now);
+        this->retired.expire(now);
         for (const Member &member : this->status.membership.members) {
             this->subscriptions->add(member.instance);
         }
@@ -564,6 +565,11 @@
         if (update) {
             this->registry.applyUpdate(update.value(), now);
             this->changedSinceRemembered = true;
+            for (const RegistryChange &change : update.value().changes) {
+                if (change.record.state == BackendState::Stopped) {
+                    this->retired.add(change.record.identity, change.record.incarnation, now);
+                }
+            }
         } else {
             logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
         }
@@ -726,8 +732,12 @@
 Status ControlMember::announce(const BackendRecord &record)
 {
     this->metrics->count(CounterName::Announcements);
+    const TimePoint now = MonotonicClock::now();
+    if (record.state != BackendState::Stopped && this->retired.contains(record.identity, record.incarnation, now)) {
+        return makeError(ErrorKind::NumberOutOfOrder, "server " + record.identity + " has left; only a new run of it is accepted");
+    }
     const std::uint64_t before = this->registry.newestChange();
-    const Result<bool> announced = this->registry.announce(record, MonotonicClock::now());
+    const Result<bool> announced = this->registry.announce(record, now);
     if (!announced) {
         return announced.error();
     }
@@ -751,6 +761,7 @@
         if (known.identity != identity) {
             continue;
         }
+        this->retired.add(identity, known.incarnation, MonotonicClock::now());
         BackendRecord stopped = known;
         stopped.state = BackendState::Stopped;
         // No announcement of this run that is still under way may bring it back.
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -8,6 +8,7 @@
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
+#include "galenawell/registry/retiredservers.h"
 #include "galenawell/registry/slowservers.h"
 #include "galenawell/settings/nodesettings.h"
 #include "galenawell/telemetry/eventlog.h"
@@ -103,6 +104,8 @@
     BackendRegistry registry;
     FrontDirectory fronts;
     SlowServers slowServers;
+    // Those that were retired here or, as far as their holders told, at another control process.
+    RetiredServers retired;
     std::int64_t loggedSlowVersion = 1;
     RecoveryFile recoveryFile;
     TimePoint rememberedAt;
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -99,6 +99,7 @@
         [](RefusalReason, const std::string &) { return HttpResponse{.status = 400}; });
     this->server->start();
     this->address = at("127.0.0.1", this->server->address().port());
+    this->announcedAddress = this->address;
 }
 
 ServerStandIn::~ServerStandIn()
@@ -109,7 +110,7 @@
 std::string ServerStandIn::heartbeat(const std::string &state)
 {
     const nlohmann::json document{{"service", this->service},
-                                  {"address", this->address},
+                                  {"address", this->announcedAddress},
                                   {"zone", this->zone},
                                   {"version", "v1"},
                                   {"slots", 1},
@@ -120,6 +121,16 @@
     return document.dump();
 }
 
+std::string ServerStandIn::listenAddress() const
+{
+    return this->address;
+}
+
+void ServerStandIn::setAnnouncedAddress(const std::string &announced)
+{
+    this->announcedAddress = announced;
+}
+
 const std::string &ServerStandIn::identity() const
 {
     return this->name;
@@ -312,6 +323,21 @@
     return ended;
 }
 
+void PlatformInstallation::signal(const std::string &name, int number)
+{
+    ::kill(this->member(name).process, number);
+}
+
+bool PlatformInstallation::endedByItself() const
+{
+    return std::ranges::any_of(this->members, [](const Member &each) {
+        siginfo_t information{};
+        const auto process = static_cast<id_t>(each.process);
+        return each.process != 0 && ::waitid(P_PID, process, &information, WEXITED | WNOHANG | WNOWAIT) == 0
+            && information.si_pid == each.process;
+    });
+}
+
 void PlatformInstallation::wipe(const std::string &name)
 {
     std::filesystem::remove_all(this->folder / name);
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -56,6 +56,9 @@
     ~ServerStandIn();
 
     std::string heartbeat(const std::string &state);
+    // Where the server listens, and where its heartbeats say that it does.
+    std::string listenAddress() const;
+    void setAnnouncedAddress(const std::string &announced);
     const std::string &identity() const;
     std::size_t runs() const;
     std::size_t runsOf(const std::string &requestId) const;
@@ -71,6 +74,7 @@
     std::string name;
     std::string zone;
     std::string address;
+    std::string announcedAddress;
     std::atomic<std::uint64_t> sequence{0};
     std::atomic<std::int64_t> workMilliseconds{0};
     std::atomic<std::size_t> left{0};
@@ -91,6 +95,10 @@
 
     void startAll();
     void start(const std::string &name);
+    // Sends a signal and doesn't wait.
+    void signal(const std::string &name, int number);
+    // True if a process ended that nobody stopped.
+    bool endedByItself() const;
     // Waits until the process has ended; false if it didn't within the time.
     bool stop(const std::string &name, int signal, std::chrono::milliseconds within = std::chrono::seconds(10));
     void wipe(const std::string &name);
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -295,3 +295,24 @@
     cr_assert(none.status == 0);
     cr_assert(eventually([&] { return servers.first.abandoned() > 0; }, 1000ms));
 }
+
+// Guards against a server that said that it ends being used again: it may go on sending heartbeats while it ends, for longer
+// than a lease, and to other control processes.
+Test(platform, a_server_that_left_is_not_brought_back_by_its_heartbeats)
+{
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    Servers servers(installation);
+    cr_assert(installation.acknowledged(configuration(7, twoShards)));
+    cr_assert(eventually([&] { return allServe(installation); }));
+    const Reply left = call(
+        {.address = installation.controlAddress("control2"), .method = "DELETE", .target = "/v1/instances/" + servers.archive.identity()});
+    cr_assert(left.status == 200);
+    std::this_thread::sleep_for(1s);
+    const std::size_t before = servers.archive.runs();
+    for (int index = 0; index < 25; ++index) {
+        cr_assert(ask(installation, "front" + std::to_string(1 + index % 2), "/one/x", "l" + std::to_string(index)).status == 503);
+        std::this_thread::sleep_for(200ms);
+    }
+    cr_assert(servers.archive.runs() == before);
+}
--- /dev/null
+++ b/tests/soak/faultproxy.cpp
@@ -0,0 +1,128 @@
+#include "soak/faultproxy.h"
+
+#include <array>
+
+namespace Galenawell::Testing {
+
+namespace {
+
+constexpr std::chrono::milliseconds chunkDelay{40};
+
+} // namespace
+
+struct FaultProxy::Pair
+{
+    Pair(Tcp::socket accepted, const Asio::any_io_executor &executor)
+        : caller(std::move(accepted))
+        , server(executor)
+    {
+    }
+
+    Tcp::socket caller;
+    Tcp::socket server;
+    bool dropsRequests = false;
+    bool dropsReplies = false;
+};
+
+FaultProxy::FaultProxy(Tcp::endpoint targetAddress)
+    : target(std::move(targetAddress))
+    , acceptor(this->loop.context, anyPort())
+{
+    Asio::co_spawn(
+        this->loop.context, [this] { return this->acceptLoop(); }, Asio::detached);
+}
+
+FaultProxy::~FaultProxy()
+{
+    this->loop.context.stop();
+}
+
+std::string FaultProxy::address() const
+{
+    return "127.0.0.1:" + std::to_string(this->acceptor.local_endpoint().port());
+}
+
+void FaultProxy::apply(ProxyFault fault)
+{
+    this->delays = fault == ProxyFault::Delay;
+    Asio::post(this->loop.context, [this, fault] {
+        for (const std::weak_ptr<Pair> &weak : this->pairs) {
+            if (const std::shared_ptr<Pair> pair = weak.lock()) {
+                pair->dropsRequests = pair->dropsRequests || fault == ProxyFault::Silence;
+                pair->dropsReplies = pair->dropsReplies || fault == ProxyFault::Silence || fault == ProxyFault::CutReplies;
+            }
+        }
+    });
+}
+
+void FaultProxy::resetConnections()
+{
+    Asio::post(this->loop.context, [this] {
+        for (const std::weak_ptr<Pair> &weak : this->pairs) {
+            if (const std::shared_ptr<Pair> pair = weak.lock()) {
+                Beast::error_code ignored;
+                pair->caller.set_option(Asio::socket_base::linger(true, 0), ignored);
+                pair->caller.close(ignored);
+                pair->server.close(ignored);
+            }
+        }
+        this->pairs.clear();
+    });
+}
+
+Asio::awaitable<void> FaultProxy::acceptLoop()
+{
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(awaitResult);
+        if (error) {
+            co_return;
+        }
+        auto pair = std::make_shared<Pair>(std::move(socket), this->loop.context.get_executor());
+        std::erase_if(this->pairs, [](const std::weak_ptr<Pair> &weak) { return weak.expired(); });
+        this->pairs.push_back(pair);
+        Asio::co_spawn(
+            this->loop.context, [this, pair] { return this->connect(pair); }, Asio::detached);
+    }
+}
+
+Asio::awaitable<void> FaultProxy::connect(std::shared_ptr<Pair> pair)
+{
+    auto [error] = co_await pair->server.async_connect(this->target, awaitResult);
+    if (error) {
+        Beast::error_code ignored;
+        pair->caller.close(ignored);
+        co_return;
+    }
+    Asio::co_spawn(
+        this->loop.context, [this, pair] { return this->copy(pair, true); }, Asio::detached);
+    co_await this->copy(pair, false);
+}
+
+Asio::awaitable<void> FaultProxy::copy(std::shared_ptr<Pair> pair, bool replies)
+{
+    Tcp::socket &from = replies ? pair->server : pair->caller;
+    Tcp::socket &to = replies ? pair->caller : pair->server;
+    std::array<char, 4096> chunk{};
+    for (;;) {
+        auto [readError, received] = co_await from.async_read_some(Asio::buffer(chunk), awaitResult);
+        if (readError) {
+            break;
+        }
+        if (this->delays) {
+            Asio::steady_timer timer(this->loop.context, chunkDelay);
+            co_await timer.async_wait(awaitResult);
+        }
+        if (replies ? pair->dropsReplies : pair->dropsRequests) {
+            continue;
+        }
+        auto [writeError, written] = co_await Asio::async_write(to, Asio::buffer(chunk.data(), received), awaitResult);
+        if (writeError) {
+            break;
+        }
+    }
+    Beast::error_code ignored;
+    from.close(ignored);
+    to.close(ignored);
+}
+
+} // namespace Galenawell::Testing
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,463 @@
+#include "soak/soak.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace Galenawell::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+// From the platform's bounds: service returns within this after the last fault, and changes are acknowledged.
+constexpr std::chrono::seconds recoveryBound{12};
+// Between two lost disks, so that the group is whole again: the bound for a new member to catch up, and its restart.
+constexpr std::chrono::seconds wipeDistance{8};
+constexpr std::size_t callerCount = 4;
+
+std::string singleId(std::uint64_t number)
+{
+    return "once" + std::to_string(number);
+}
+
+// A caller's connection that is kept until the other end closes it.
+class KeptConnection
+{
+public:
+    Reply exchange(const Call &request)
+    {
+        if (this->stream == nullptr || this->address != request.address) {
+            this->stream = std::make_unique<Beast::tcp_stream>(this->context);
+            this->buffer.clear();
+            this->address = request.address;
+            this->open = false;
+        }
+        Reply reply;
+        this->stream->expires_after(request.timeout);
+        Asio::co_spawn(
+            this->context, [&] { return this->send(request, reply); }, Asio::detached);
+        this->context.restart();
+        this->context.run();
+        if (reply.status == 0 || sameHeaderName(reply.header("Connection"), "close")) {
+            this->stream.reset();
+        }
+        return reply;
+    }
+
+private:
+    Asio::awaitable<void> send(const Call &request, Reply &reply)
+    {
+        if (!this->open) {
+            const std::size_t colon = request.address.rfind(':');
+            const Tcp::endpoint endpoint(Asio::ip::make_address(request.address.substr(0, colon)),
+                                         static_cast<unsigned short>(std::stoul(request.address.substr(colon + 1))));
+            auto [error] = co_await this->stream->async_connect(endpoint, awaitResult);
+            if (error) {
+                co_return;
+            }
+            this->open = true;
+        }
+        Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
+        message.method_string(request.method);
+        for (const HttpHeader &header : request.headers) {
+            message.insert(header.name, header.value);
+        }
+        message.body() = request.body;
+        message.prepare_payload();
+        auto [writeError, written] = co_await Http::async_write(*this->stream, message, awaitResult);
+        Http::response<Http::string_body> response;
+        auto [readError, read] = co_await Http::async_read(*this->stream, this->buffer, response, awaitResult);
+        if (!writeError && !readError) {
+            reply = Reply{.status = response.result_int(), .headers = copyHeaders(response), .body = response.body()};
+        }
+    }
+
+    Asio::io_context context;
+    std::unique_ptr<Beast::tcp_stream> stream;
+    Beast::flat_buffer buffer;
+    std::string address;
+    bool open = false;
+};
+
+} // namespace
+
+Soak::Soak(const SoakOptions &soakOptions)
+    : options(soakOptions)
+    , random(soakOptions.seed)
+    , installation(soakOptions.controls, soakOptions.fronts)
+    , promises(soakOptions.shards, "s")
+{
+    for (std::size_t shard = 0; shard < this->options.shards; ++shard) {
+        for (std::size_t replica = 0; replica < this->options.replicas; ++replica) {
+            const std::string service = "s" + std::to_string(shard);
+            this->addServer(service, service + "-" + std::to_string(replica), replica + 1);
+        }
+    }
+    for (std::size_t replica = 0; replica < this->options.replicas; ++replica) {
+        this->addServer("archive", "a-" + std::to_string(replica), replica + 1);
+    }
+}
+
+void Soak::addServer(const std::string &service, const std::string &identity, std::size_t zone)
+{
+    Server server;
+    server.standIn = std::make_unique<ServerStandIn>(service, identity, "z" + std::to_string(zone));
+    server.standIn->setWork(5ms);
+    const std::string address = server.standIn->listenAddress();
+    const auto port = static_cast<unsigned short>(std::stoul(address.substr(address.rfind(':') + 1)));
+    server.proxy = std::make_unique<FaultProxy>(Tcp::endpoint(Asio::ip::address_v4::loopback(), port));
+    server.standIn->setAnnouncedAddress(server.proxy->address());
+    this->servers.push_back(std::move(server));
+}
+
+nlohmann::json Soak::configuration(std::uint64_t version) const
+{
+    nlohmann::json shards = nlohmann::json::array();
+    nlohmann::json services = nlohmann::json::array({{{"name", "archive"}, {"connection_limit", 40}}});
+    for (std::size_t shard = 0; shard < this->options.shards; ++shard) {
+        shards.push_back("s" + std::to_string(shard));
+        services.push_back({{"name", shards.back()}, {"connection_limit", 40}});
+    }
+    return {{"version", version},
+            {"routes",
+             {{{"name", "wide"},
+               {"host", "h"},
+               {"path_prefix", "/wide/"},
+               {"kind", "safe"},
+               {"timeout_ms", 1500},
+               {"target_latency_ms", 300},
+               {"fanout_services", shards},
+               {"max_attempts", 2},
+               {"result_limit", 10},
+               {"minimum_success_share", 0.6}},
+              {{"name", "one"},
+               {"host", "h"},
+               {"path_prefix", "/one/"},
+               {"kind", "unsafe"},
+               {"timeout_ms", 3000},
+               {"service", "archive"},
+               {"max_attempts", 2}}}},
+            {"services", services}};
+}
+
+void Soak::say(const std::string &sentence) const
+{
+    if (this->options.verbose) {
+        std::cout << sentence << std::endl;
+    }
+}
+
+std::string Soak::drawFrom(const std::vector<std::string> &names)
+{
+    return names[this->random() % names.size()];
+}
+
+std::chrono::milliseconds Soak::drawTime(int least, int most)
+{
+    return std::chrono::milliseconds(least + static_cast<int>(this->random() % static_cast<unsigned>(most - least)));
+}
+
+// ---- Load
+
+void Soak::heartbeats(const std::stop_token &stop)
+{
+    while (!stop.stop_requested()) {
+        for (const Server &server : this->servers) {
+            this->installation.announce(*server.standIn, "ready");
+        }
+        std::this_thread::sleep_for(150ms);
+    }
+}
+
+void Soak::callers(const std::stop_token &stop, std::size_t caller)
+{
+    KeptConnection connection;
+    const std::vector<std::string> fronts = this->installation.fronts();
+    std::size_t front = caller;
+    while (!stop.stop_requested()) {
+        const bool once = this->nextRequest % 3 == 0;
+        const std::uint64_t number = this->nextRequest++;
+        const std::string id = once ? singleId(number) : "wide" + std::to_string(number);
+        const Reply reply = connection.exchange({.address = this->installation.callerAddress(fronts[front % fronts.size()]),
+                                                 .method = once ? "POST" : "GET",
+                                                 .target = once ? "/one/x" : "/wide/x",
+                                                 .headers = {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Remaining", "1500"}},
+                                                 .body = once ? "content" : "",
+                                                 .timeout = 2500ms});
+        if (once) {
+            this->promises.onSingle(id, reply);
+        } else {
+            this->promises.onMerged(id, reply);
+        }
+        // A caller turns elsewhere when a connection fails; else it stays until the process is gone.
+        front += reply.status == 0 ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+}
+
+void Soak::operators(const std::stop_token &stop)
+{
+    std::uint64_t version = 10;
+    const std::vector<std::string> controls = this->installation.controls();
+    for (std::size_t turn = 0; !stop.stop_requested(); ++turn) {
+        const std::string &control = controls[turn % controls.size()];
+        if (turn % 3 == 0) {
+            version += 1 + turn % 4;
+        }
+        if (this->installation.putConfiguration(control, this->configuration(version)).status == 200) {
+            this->promises.onAcknowledged(version);
+        }
+        const std::uint64_t newest = this->promises.newestAcknowledged();
+        this->promises.onRead(newest, this->installation.getConfiguration(controls[(turn + 1) % controls.size()]));
+        std::this_thread::sleep_for(100ms);
+    }
+}
+
+void Soak::startLoad()
+{
+    this->threads.emplace_back([this](const std::stop_token &stop) { this->heartbeats(stop); });
+    this->threads.emplace_back([this](const std::stop_token &stop) { this->operators(stop); });
+    for (std::size_t caller = 0; caller < callerCount; ++caller) {
+        this->threads.emplace_back([this, caller](const std::stop_token &stop) { this->callers(stop, caller); });
+    }
+}
+
+// ---- Faults
+
+bool Soak::isDown(const std::string &name) const
+{
+    return this->down.contains(name);
+}
+
+void Soak::restartLater(const std::string &name, std::chrono::milliseconds after)
+{
+    this->down.insert(name);
+    this->due.emplace(Clock::now() + after, [this, name] {
+        this->installation.start(name);
+        this->down.erase(name);
+    });
+}
+
+void Soak::killOne()
+{
+    std::vector<std::string> names = this->installation.fronts();
+    const std::vector<std::string> controls = this->installation.controls();
+    names.insert(names.end(), controls.begin(), controls.end());
+    const std::string name = this->drawFrom(names);
+    if (!this->isDown(name)) {
+        this->say("kill " + name);
+        this->installation.stop(name, SIGKILL);
+        this->restartLater(name, this->drawTime(100, 3000));
+    }
+}
+
+void Soak::stopOne()
+{
+    std::vector<std::string> names = this->installation.fronts();
+    const std::vector<std::string> controls = this->installation.controls();
+    names.insert(names.end(), controls.begin(), controls.end());
+    const std::string name = this->drawFrom(names);
+    if (this->isDown(name)) {
+        return;
+    }
+    this->say("stop " + name);
+    this->down.insert(name);
+    this->installation.signal(name, SIGTERM);
+    this->due.emplace(Clock::now() + 6s, [this, name] {
+        if (!this->installation.stop(name, 0, 100ms)) {
+            this->promises.violate(name + " still runs 6 s after SIGTERM");
+            this->installation.stop(name, SIGKILL);
+        }
+        this->installation.start(name);
+        this->down.erase(name);
+    });
+}
+
+void Soak::pauseOne()
+{
+    std::vector<std::string> names = this->installation.fronts();
+    const std::vector<std::string> controls = this->installation.controls();
+    names.insert(names.end(), controls.begin(), controls.end());
+    const std::string name = this->drawFrom(names);
+    if (this->isDown(name)) {
+        return;
+    }
+    this->say("pause " + name);
+    this->down.insert(name);
+    this->installation.signal(name, SIGSTOP);
+    this->due.emplace(Clock::now() + this->drawTime(100, 4000), [this, name] {
+        this->installation.signal(name, SIGCONT);
+        this->down.erase(name);
+    });
+}
+
+void Soak::killControls()
+{
+    this->say("kill all control processes");
+    for (const std::string &name : this->installation.controls()) {
+        if (!this->isDown(name)) {
+            this->installation.stop(name, SIGKILL);
+            this->restartLater(name, this->drawTime(100, 1000));
+        }
+    }
+}
+
+void Soak::killEverything()
+{
+    this->killControls();
+    this->say("kill all fronts");
+    for (const std::string &name : this->installation.fronts()) {
+        if (!this->isDown(name)) {
+            this->installation.stop(name, SIGKILL);
+            this->restartLater(name, this->drawTime(100, 1000));
+        }
+    }
+}
+
+void Soak::wipeControl()
+{
+    // One lost disk at a time is tolerated, and only while no other control process is down.
+    const std::vector<std::string> controls = this->installation.controls();
+    const bool otherDown = std::ranges::any_of(controls, [this](const std::string &name) { return this->isDown(name); });
+    if (otherDown || Clock::now() - this->lastWipe < wipeDistance) {
+        return;
+    }
+    this->lastWipe = Clock::now();
+    const std::string name = this->drawFrom(controls);
+    this->say("wipe " + name);
+    this->installation.stop(name, SIGKILL);
+    this->installation.wipe(name);
+    this->restartLater(name, this->drawTime(200, 1500));
+}
+
+void Soak::disturbServer()
+{
+    static constexpr std::array<ProxyFault, 3> faults{ProxyFault::Delay, ProxyFault::CutReplies, ProxyFault::Silence};
+    FaultProxy *proxy = this->servers[this->random() % this->servers.size()].proxy.get();
+    proxy->apply(faults.at(this->random() % faults.size()));
+    this->due.emplace(Clock::now() + this->drawTime(300, 4000), [proxy] { proxy->apply(ProxyFault::None); });
+}
+
+void Soak::resetServer()
+{
+    this->servers[this->random() % this->servers.size()].proxy->resetConnections();
+}
+
+void Soak::runDue(Clock::time_point now)
+{
+    while (!this->due.empty() && this->due.begin()->first <= now) {
+        const std::function<void()> action = std::move(this->due.begin()->second);
+        this->due.erase(this->due.begin());
+        action();
+    }
+}
+
+// ---- The run
+
+void Soak::checkRecovery()
+{
+    const auto serves = [this] {
+        const std::vector<std::string> fronts = this->installation.fronts();
+        return std::ranges::all_of(fronts, [this](const std::string &front) {
+            const Reply reply = call({.address = this->installation.callerAddress(front),
+                                      .target = "/wide/x",
+                                      .headers = {{"Host", "h"}, {"Attempt-Id", "final"}, {"Time-Remaining", "1500"}}});
+            return reply.status == 200 && reply.header("Missing-Parts") == "0";
+        });
+    };
+    if (!eventually(serves, recoveryBound)) {
+        this->promises.violate("not every front serves whole answers 12 s after the last fault");
+    }
+    const std::uint64_t version = this->promises.newestAcknowledged() + 1000;
+    const auto accepted = [this, version] {
+        const std::vector<std::string> controls = this->installation.controls();
+        return std::ranges::any_of(controls, [&](const std::string &control) {
+            return this->installation.putConfiguration(control, this->configuration(version)).status == 200;
+        });
+    };
+    if (!eventually(accepted, recoveryBound)) {
+        this->promises.violate("no change is acknowledged 12 s after the last fault");
+        return;
+    }
+    const auto readBack = [this, version] {
+        const std::vector<std::string> controls = this->installation.controls();
+        return std::ranges::all_of(controls, [&](const std::string &control) {
+            return this->installation.getConfiguration(control).body == this->configuration(version).dump();
+        });
+    };
+    if (!eventually(readBack, recoveryBound)) {
+        this->promises.violate("not every control process reads back the newest configuration 12 s after its acknowledgement");
+    }
+}
+
+std::vector<std::string> Soak::run()
+{
+    // Single losses are more frequent than those of many processes.
+    static constexpr std::array<Fault, 12> faults{&Soak::killOne,
+                                                  &Soak::killOne,
+                                                  &Soak::stopOne,
+                                                  &Soak::stopOne,
+                                                  &Soak::pauseOne,
+                                                  &Soak::pauseOne,
+                                                  &Soak::killControls,
+                                                  &Soak::killEverything,
+                                                  &Soak::wipeControl,
+                                                  &Soak::disturbServer,
+                                                  &Soak::disturbServer,
+                                                  &Soak::resetServer};
+    this->installation.startAll();
+    if (!this->installation.acknowledged(this->configuration(5))) {
+        return {"the first configuration was never acknowledged"};
+    }
+    this->promises.onAcknowledged(5);
+    this->installation.setFounding(false);
+    this->startLoad();
+    std::this_thread::sleep_for(2s);
+    const Clock::time_point end = Clock::now() + this->options.length;
+    while (Clock::now() < end) {
+        (this->*faults.at(this->random() % faults.size()))();
+        const Clock::time_point next = Clock::now() + this->drawTime(50, 1500);
+        while (Clock::now() < next) {
+            this->runDue(Clock::now());
+            std::this_thread::sleep_for(10ms);
+        }
+        if (this->installation.endedByItself()) {
+            // A process under SIGTERM is waited for when its time is over.
+            const bool stopping = !this->down.empty();
+            if (!stopping) {
+                this->promises.violate("a process ended that nobody stopped");
+                break;
+            }
+        }
+    }
+    while (!this->due.empty()) {
+        this->runDue(Clock::now());
+        std::this_thread::sleep_for(10ms);
+    }
+    for (const Server &server : this->servers) {
+        server.proxy->resetConnections();
+    }
+    this->checkRecovery();
+    for (std::jthread &thread : this->threads) {
+        thread.request_stop();
+    }
+    this->threads.clear();
+    for (std::uint64_t number = 1; number < this->nextRequest; ++number) {
+        std::size_t runs = 0;
+        for (const Server &server : this->servers) {
+            runs += server.standIn->runsOf(singleId(number));
+        }
+        this->promises.onRun(singleId(number), runs);
+    }
+    return this->promises.violations();
+}
+
+std::string Soak::summary() const
+{
+    return this->promises.summary();
+}
+
+} // namespace Galenawell::Testing
