--- a/src/galenawell/configuration/routeplan.cpp
+++ b/src/galenawell/configuration/routeplan.cpp
@@ -109,10 +109,10 @@
     std::set<std::string_view> distinct;
     for (const std::string &group : route.groups) {
         if (!this->allServices.contains(group)) {
-            return invalid(subject + "names the unknown group '" + group + "'");
+            return invalid(std::string(subject).append("names the unknown group '").append(group).append("'"));
         }
         if (!distinct.insert(group).second) {
-            return invalid(subject + "names the group '" + group + "' twice");
+            return invalid(std::string(subject).append("names the group '").append(group).append("' twice"));
         }
     }
     return boost::outcome_v2::success();
--- a/src/galenawell/telemetry/eventlog.cpp
+++ b/src/galenawell/telemetry/eventlog.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <poll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Galenawell {
 
