--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -40,8 +40,8 @@
     std::optional<RetryReason> failure;
     // A complete reply of this server to this request, successful or not.
     bool genuine = false;
-    // The server is about to leave.
-    bool leaving = false;
+    // The reply came on a connection that was made for this request.
+    bool freshConnection = false;
     std::optional<LoadReport> load;
     unsigned status = 0;
     std::string proof;
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -143,14 +143,15 @@
 void RoutedRun::handleReply(const SubrequestSend &send, ServerReply reply, std::chrono::microseconds latency)
 {
     const TimePoint now = MonotonicClock::now();
-    if (reply.leaving) {
-        send.replica->health->setAccepting(false);
-    }
     if (!this->accepts(reply)) {
         if (reply.load) {
             send.replica->health->recordLoad(*reply.load, now);
         }
-        this->fail(send, SubrequestFailure{.reason = *reply.failure, .blameReplica = *reply.failure != RetryReason::Overloaded});
+        this->fail(send,
+                   SubrequestFailure{.reason = *reply.failure,
+                                     .blameReplica = *reply.failure != RetryReason::Overloaded,
+                                     .freshConnection = reply.freshConnection,
+                                     .elapsed = latency});
         return;
     }
     Subreply subreply{.subrequestId = send.subrequestId};
@@ -174,6 +175,8 @@
                                          .text("server", send.replica->record.key.address)
                                          .text("reason", toString(failure.reason))
                                          .flag("hedge", send.hedge)
+                                     .flag("fresh_connection", failure.freshConnection)
+                                     .milliseconds("after", failure.elapsed)
                                          .milliseconds("time_left", send.expiry - MonotonicClock::now()));
     }
     this->perform(this->scatter.onFailure(send.subrequestId, failure, MonotonicClock::now()));
--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -8,6 +8,8 @@
 {
     SubrequestFailure failure;
     failure.blameReplica = !result.connectionAtFault;
+    failure.freshConnection = result.connected;
+    failure.elapsed = result.latency;
     switch (result.status) {
     case ExchangeStatus::NotSent:
         failure.reason = RetryReason::ConnectionRefused;
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -63,6 +63,9 @@
     RetryReason reason = RetryReason::ConnectionLost;
     // False for one silent connection while newer connections to the replica work.
     bool blameReplica = true;
+    // The subrequest was sent on a connection made for it.
+    bool freshConnection = false;
+    std::chrono::microseconds elapsed{0};
 };
 
 struct ScatterOutcome
