Share failing servers among fronts, keep few idle connections, and read replies before late hedges

Change: `ImpairedServers` counts slow and failing subrequests against the traffic that fronts report; `doubtTime` follows how rarely a front sends; `keptConnections` lets all fronts together rest on half of a server's connections; a late timer puts hedges off once; a table takes up all registry changes of a tick. A leave of a server that a control process doesn't know, while it can't have heard of all, is refused with 503 instead of acknowledged without effect; ignored announcements are logged.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -208,15 +208,18 @@
     8: required i64 registryIncarnation
     9: required i64 registryThrough
     10: required i64 waitMs
-    11: required list<CrashEvidenceMessage> evidence
-    // Version of the receiver's list of slow servers that the sender has; 0 for none.
-    12: required i64 slowVersion
+    // Version of the receiver's list of impaired servers that the sender has; 0 for none.
+    12: required i64 impairedVersion
     // Of the log member, if the sender is a control process that has one.
     13: optional i64 identity
-    // Addresses of backend servers with subrequests that took far longer than usual, since the sender's last subscription.
-    14: optional list<string> outliers
+    // Subrequests that took far longer than usual since the sender's last subscription, by the address of the backend server.
+    14: optional map<string, i32> outliers
     // False: the sender gets the view from another control process.
     15: optional bool wantsView
+    // The same for subrequests that failed.
+    16: optional map<string, i32> failures
+    // Requests to sets of groups since the sender's last subscription.
+    17: optional i32 scatters
 }
 
 struct SubscriptionReply {
@@ -227,14 +230,13 @@
     // Peer addresses of the control processes that the sender knows.
     4: required list<string> controls
     5: required i32 liveFronts
-    6: required list<CrashEvidenceMessage> evidence
-    // Version of the list of slow servers.
-    7: required i64 slowVersion
+    // Version of the list of impaired servers.
+    7: required i64 impairedVersion
     // Identities of the log's members; empty while the sender knows no log.
     8: required list<i64> members
     9: required string leader
-    // Addresses of backend servers that many fronts find slow, if the sender's version is another.
-    10: optional list<string> slow
+    // Addresses of backend servers that many fronts find slow or failing, if the sender's version is another.
+    10: optional list<string> impaired
     // Newest revision that the sender knows, with or without the view.
     11: optional i64 revision
     12: optional string dataCentre
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds rememberInterval{400};
 // Control processes that were heard within this time are named to others.
 constexpr std::chrono::milliseconds listedFor{10000};
+// Three waits of a subscription.
+constexpr std::chrono::milliseconds controlSilence{1500};
 // Part of the data folder's file system that entries of the log leave free for snapshots and hard state.
 constexpr std::size_t reservedBytes = std::size_t(16) * 1024 * 1024;
 constexpr std::size_t segmentBytes = std::size_t(1024) * 1024;
@@ -63,6 +65,12 @@
     return reply;
 }
 
+// Counts are signed on the wire.
+std::size_t countOf(std::int32_t count)
+{
+    return static_cast<std::size_t>(std::max(0, count));
+}
+
 } // namespace
 
 ControlMember::ControlMember(Asio::any_io_executor ioExecutor,
@@ -79,7 +87,7 @@
     , incarnation(incarnationNow())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , fronts(FrontDirectoryOptions{})
-    , slowServers(SlowServersOptions{})
+    , impairedServers(ImpairedServersOptions{})
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
 {
@@ -282,7 +290,7 @@
             this->notifyChange();
         }
         this->remember(now);
-        this->logSlowServers(now);
+        this->logImpairedServers(now);
         if (led != this->leads()) {
             led = this->leads();
             this->leaderSince = now;
@@ -302,14 +310,15 @@
     }
 }
 
-void ControlMember::logSlowServers(TimePoint now)
+void ControlMember::logImpairedServers(TimePoint now)
 {
-    const std::vector<std::string> &slow = this->slowServers.list(now);
-    if (this->slowServers.version() != this->loggedSlowVersion) {
-        this->loggedSlowVersion = this->slowServers.version();
-        this->events->write(
-            EventKind::State,
-            Event("slow_servers").number("count", static_cast<std::int64_t>(slow.size())).text("first", slow.empty() ? "" : slow.front()));
+    const std::vector<std::string> &impaired = this->impairedServers.list(now);
+    if (this->impairedServers.version() != this->loggedImpairedVersion) {
+        this->loggedImpairedVersion = this->impairedServers.version();
+        this->events->write(EventKind::State,
+                            Event("impaired_servers")
+                                .number("count", static_cast<std::int64_t>(impaired.size()))
+                                .text("first", impaired.empty() ? "" : impaired.front()));
     }
 }
 
@@ -495,9 +504,7 @@
                                         .dataCentre = subscription.dataCentre,
                                         .accepting = subscription.accepting},
                             now);
-        for (const std::string &address : subscription.outliers) {
-            this->slowServers.report(address, peer, now);
-        }
+        this->noteTroubles(peer, subscription, now);
     } else {
         this->subscriptions->add(peer);
     }
@@ -508,6 +515,19 @@
     co_return this->replyTo(subscription);
 }
 
+void ControlMember::noteTroubles(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now)
+{
+    this->impairedServers.noteScatters(subscription.dataCentre, countOf(subscription.scatters), now);
+    const auto note = [&](const std::map<std::string, std::int32_t> &troubles, Impairment impairment) {
+        for (const auto &[address, count] : troubles) {
+            this->impairedServers.report({.address = address, .impairment = impairment, .front = front, .subrequests = countOf(count)},
+                                         now);
+        }
+    };
+    note(subscription.outliers, Impairment::Slow);
+    note(subscription.failures, Impairment::Failing);
+}
+
 Wire::SubscriptionReply ControlMember::replyTo(const Wire::Subscription &subscription)
 {
     Wire::SubscriptionReply reply;
@@ -531,10 +551,10 @@
     }
     reply.liveFronts = static_cast<std::int32_t>(this->fronts.liveCount(now));
     reply.leader = this->status.leaderInstance;
-    const std::vector<std::string> &slow = this->slowServers.list(now);
-    reply.slowVersion = this->slowServers.version();
-    if (subscription.front && (!sameRun || reply.slowVersion != subscription.slowVersion)) {
-        reply.__set_slow(slow);
+    const std::vector<std::string> &impaired = this->impairedServers.list(now);
+    reply.impairedVersion = this->impairedServers.version();
+    if (subscription.front && (!sameRun || reply.impairedVersion != subscription.impairedVersion)) {
+        reply.__set_impaired(impaired);
     }
     return reply;
 }
@@ -551,7 +571,7 @@
     const auto [holderRun, through] = this->registry.latestRunOf(control);
     subscription.registryIncarnation = static_cast<std::int64_t>(holderRun);
     subscription.registryThrough = static_cast<std::int64_t>(through);
-    subscription.slowVersion = 0;
+    subscription.impairedVersion = 0;
     return subscription;
 }
 
@@ -734,11 +754,15 @@
     this->metrics->count(CounterName::Announcements);
     const TimePoint now = MonotonicClock::now();
     if (record.state != BackendState::Stopped && this->retired.contains(record.identity, record.incarnation, now)) {
+        this->events->write(EventKind::State,
+                            Event("announcement_ignored").text("identity", record.identity).text("reason", "the server has left"));
         return makeError(ErrorKind::NumberOutOfOrder, "server " + record.identity + " has left; only a new run of it is accepted");
     }
     const std::uint64_t before = this->registry.newestChange();
     const Result<bool> announced = this->registry.announce(record, now);
     if (!announced) {
+        this->events->write(EventKind::State,
+                            Event("announcement_ignored").text("identity", record.identity).text("reason", announced.error().message()));
         return announced.error();
     }
     if (this->registry.newestChange() != before) {
@@ -755,7 +779,7 @@
     return boost::outcome_v2::success();
 }
 
-bool ControlMember::retire(const std::string &identity)
+LeaveOutcome ControlMember::retire(const std::string &identity)
 {
     for (const BackendRecord &known : this->registry.visible()) {
         if (known.identity != identity) {
@@ -766,9 +790,27 @@
         stopped.state = BackendState::Stopped;
         // No announcement of this run that is still under way may bring it back.
         stopped.sequence = std::numeric_limits<std::int64_t>::max();
-        return this->announce(stopped).has_value();
+        if (const Status announced = this->announce(stopped); !announced) {
+            logger.error("server " + identity + " can't be retired: " + announced.error().message());
+            return LeaveOutcome::UnknownHere;
+        }
+        return LeaveOutcome::Retired;
+    }
+    const bool gone = this->knowsAllServers();
+    this->events->write(EventKind::State, Event("leave_of_unknown_server").text("identity", identity).flag("gone", gone));
+    return gone ? LeaveOutcome::AlreadyGone : LeaveOutcome::UnknownHere;
+}
+
+bool ControlMember::knowsAllServers() const
+{
+    const TimePoint now = MonotonicClock::now();
+    if (now - this->createdAt < this->settings.serverLease()) {
+        return false;
     }
-    return false;
+    const std::vector<InstanceName> heard = this->subscriptions->heardWithin(controlSilence, now);
+    return std::ranges::all_of(this->status.membership.members, [this, &heard](const Member &member) {
+        return member.instance == this->settings.peerName() || std::ranges::find(heard, member.instance) != heard.end();
+    });
 }
 
 bool ControlMember::hearsFronts() const
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -8,8 +8,8 @@
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
+#include "galenawell/registry/impairedservers.h"
 #include "galenawell/registry/retiredservers.h"
-#include "galenawell/registry/slowservers.h"
 #include "galenawell/settings/nodesettings.h"
 #include "galenawell/telemetry/eventlog.h"
 #include "galenawell/telemetry/metrics.h"
@@ -24,6 +24,16 @@
 
 namespace Galenawell {
 
+// What a server's word that it ends came to.
+enum class LeaveOutcome : std::uint8_t {
+    // All fronts are told.
+    Retired,
+    // Nobody knows the server, so no front uses it.
+    AlreadyGone,
+    // Another control process may know the server, and must be told.
+    UnknownHere,
+};
+
 class ControlMember : public std::enable_shared_from_this<ControlMember>
 {
 public:
@@ -48,12 +58,14 @@
 
     // An announcement that was made to this process. Fails for an outdated one.
     Status announce(const BackendRecord &record);
-    // The server with this identity takes no new work and ends soon. False if it isn't known.
-    bool retire(const std::string &identity);
+    // The server with this identity takes no new work and ends soon.
+    LeaveOutcome retire(const std::string &identity);
 
     std::vector<std::string> entriesFor(const std::string &dataCentre) const;
     // False while no front hears this process, so that what is announced here would reach nobody.
     bool hearsFronts() const;
+    // Whether this process has heard what every other one knows of servers.
+    bool knowsAllServers() const;
     // True after a failure that only a restart can cure.
     bool failed() const;
 
@@ -73,6 +85,7 @@
     Wire::Subscription subscriptionFor(const InstanceName &control);
     void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint askedAt);
     bool hasNews(const Wire::Subscription &subscription) const;
+    void noteTroubles(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     Wire::SubscriptionReply replyTo(const Wire::Subscription &subscription);
 
     Asio::awaitable<Result<ProposalOutcome>> proposeOnce(std::string command);
@@ -81,7 +94,7 @@
     // Takes over what an earlier run of this process knew.
     void recall();
     void remember(TimePoint now);
-    void logSlowServers(TimePoint now);
+    void logImpairedServers(TimePoint now);
     // Asks for a place in the log while this process has none.
     Asio::awaitable<void> joinLoop();
     Asio::awaitable<void> planVoters();
@@ -103,10 +116,10 @@
     const Incarnation incarnation;
     BackendRegistry registry;
     FrontDirectory fronts;
-    SlowServers slowServers;
+    ImpairedServers impairedServers;
     // Those that were retired here or, as far as their holders told, at another control process.
     RetiredServers retired;
-    std::int64_t loggedSlowVersion = 1;
+    std::int64_t loggedImpairedVersion = 1;
     RecoveryFile recoveryFile;
     TimePoint rememberedAt;
     bool changedSinceRemembered = false;
--- a/src/galenawell/control/recoveryfile.cpp
+++ b/src/galenawell/control/recoveryfile.cpp
@@ -32,7 +32,7 @@
     }
     Wire::SubscriptionReply record;
     record.incarnation = 0;
-    record.slowVersion = 0;
+    record.impairedVersion = 0;
     record.liveFronts = 0;
     record.__set_view(encodeControlView(hint.view));
     record.__set_registry(toMessage(servers));
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -16,6 +16,8 @@
 const Log logger("front");
 
 constexpr std::chrono::milliseconds tickInterval{100};
+// Small beside the time for which an idle connection is kept.
+constexpr std::chrono::milliseconds closeIdleInterval{500};
 // Without any word of a control process for this long, contact counts as lost. Less than any lease, so that no record
 // lapses for want of contact.
 constexpr std::chrono::milliseconds contactGap{1300};
@@ -189,6 +191,7 @@
                                Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = returnAfter});
     }
     options.policies = options.service->groupPolicies.begin()->second;
+    this->scatters += route->merges() ? 1 : 0;
     const auto run = std::make_shared<RoutedRun>(
         std::move(options),
         RoutedRunServices{
@@ -320,9 +323,11 @@
     subscription.registryThrough = static_cast<std::int64_t>(through);
     const TimePoint now = MonotonicClock::now();
     ControlKnowledge &known = this->controls[control];
-    subscription.slowVersion = known.slowVersion;
-    subscription.__set_outliers(this->tables.outliersSince(known.reportedUntil));
-    known.reportedUntil = now;
+    subscription.impairedVersion = known.impairedVersion;
+    const ServerTroubles troubles = this->tables.troublesBeyond(known.reported);
+    subscription.__set_outliers(troubles.outliers);
+    subscription.__set_failures(troubles.failures);
+    subscription.__set_scatters(static_cast<std::int32_t>(this->scatters - std::exchange(known.reportedScatters, this->scatters)));
     subscription.__set_wantsView(this->wantsViewFrom(control, now));
     return subscription;
 }
@@ -347,7 +352,7 @@
     if (chosen != this->source) {
         this->source = chosen;
         if (!chosen.empty()) {
-            this->tables.setSlow(this->controls[chosen].slow);
+            this->tables.setImpaired(this->controls[chosen].impaired);
         }
     }
 }
@@ -356,11 +361,11 @@
 {
     ControlKnowledge &known = this->controls[control];
     known.dataCentre = reply.dataCentre;
-    known.slowVersion = reply.slowVersion;
-    if (reply.__isset.slow) {
-        known.slow = reply.slow;
+    known.impairedVersion = reply.impairedVersion;
+    if (reply.__isset.impaired) {
+        known.impaired = reply.impaired;
         if (control == this->source) {
-            this->tables.setSlow(known.slow);
+            this->tables.setImpaired(known.impaired);
         }
     }
     if (static_cast<std::uint64_t>(reply.revision) > this->namedRevision) {
@@ -402,7 +407,7 @@
             logger.error("a control view of " + control + " can't be read: " + view.error().message());
         }
     }
-    if (std::exchange(this->rebuildNeeded, false)) {
+    if (this->rebuildNeeded && (this->planChanged || now - this->rebuiltAt >= tickInterval)) {
         this->rebuild();
     }
 }
@@ -431,6 +436,7 @@
                                              .senderTimeout = this->plan->limits().requestTimeout,
                                              .idleTimeout = this->plan->limits().idleTimeout});
     this->rebuildNeeded = true;
+    this->planChanged = true;
     this->metrics->count(CounterName::ViewsApplied);
     this->metrics->set(GaugeName::Revision, static_cast<double>(view.revision));
     this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(view.configurationNumber));
@@ -446,9 +452,17 @@
 
 void RoutedFront::rebuild()
 {
+    this->rebuildNeeded = false;
+    this->planChanged = false;
+    this->rebuiltAt = MonotonicClock::now();
     const std::vector<BackendRecord> servers = this->registry.visible();
-    this->table = this->tables.build(*this->plan, servers, this->frontCount, this->revision, MonotonicClock::now());
+    this->table = this->tables.build(*this->plan, servers, this->frontCount, this->revision, this->rebuiltAt);
     this->metrics->set(GaugeName::BackendServers, static_cast<double>(servers.size()));
+    std::vector<std::string> addresses;
+    for (const BackendRecord &server : servers) {
+        addresses.push_back(server.key.address);
+    }
+    this->client.retain(addresses);
 }
 
 Asio::awaitable<void> RoutedFront::tickLoop()
@@ -456,6 +470,13 @@
     while (!this->stopping) {
         co_await this->pause(tickInterval);
         const TimePoint now = MonotonicClock::now();
+        if (now >= this->closeIdleAt) {
+            this->closeIdleAt = now + closeIdleInterval;
+            this->client.closeIdle(now);
+        }
+        if (this->rebuildNeeded) {
+            this->rebuild();
+        }
         if (now - this->subscriptions->lastHeard() > contactGap) {
             // Without control, the servers last known are kept: their own silence shows in requests.
             this->contactSince = TimePoint();
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -81,6 +81,9 @@
     // Never goes back.
     std::uint64_t revision = 0;
     LiveFrontCount liveFronts;
+    TimePoint closeIdleAt;
+    // Requests to sets of groups, each of which has sent one first subrequest to each group.
+    std::uint64_t scatters = 0;
     std::size_t frontCount = 1;
     // Since when some control process has been heard without a longer gap.
     TimePoint contactSince;
@@ -91,20 +94,24 @@
     struct ControlKnowledge
     {
         std::string dataCentre;
-        // Until when outliers were reported to it.
-        TimePoint reportedUntil;
-        std::int64_t slowVersion = 0;
-        std::vector<std::string> slow;
+        // What was reported to it.
+        ReportedTroubles reported;
+        std::uint64_t reportedScatters = 0;
+        std::int64_t impairedVersion = 0;
+        std::vector<std::string> impaired;
     };
 
     std::map<InstanceName, ControlKnowledge> controls;
-    // The control process whose views and list of slow servers are used; the others are asked only while it lags.
+    // The control process whose views and list of impaired servers are used; the others are asked only while it lags.
     InstanceName source;
     // The newest revision that any control process named, and since when it is missing here.
     std::uint64_t namedRevision = 0;
     TimePoint namedAt;
     std::uint64_t nextSeed = 1;
+    // Servers come and go many at a time, so a table takes up all changes of a tick; a new plan has its table at once.
     bool rebuildNeeded = false;
+    bool planChanged = false;
+    TimePoint rebuiltAt;
     bool draining = false;
     bool stopping = false;
 };
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -113,6 +113,8 @@
     ExchangeRequest request = this->services.codec->encodeSubrequest(*this->options.request, send.replica->record, timeLeft);
     request.expiry = send.expiry;
     request.connectTimeout = connectTimeout;
+    request.lastingConnections = send.replica->kept.lasting;
+    request.briefIdle = send.replica->kept.briefly;
     ExchangeResult result = co_await this->services.client->exchange(std::move(request), handle);
     this->running.erase(send.subrequestId);
     if (result.status != ExchangeStatus::Cancelled && !this->outcome) {
@@ -175,8 +177,8 @@
                                          .text("server", send.replica->record.key.address)
                                          .text("reason", toString(failure.reason))
                                          .flag("hedge", send.hedge)
-                                     .flag("fresh_connection", failure.freshConnection)
-                                     .milliseconds("after", failure.elapsed)
+                                         .flag("fresh_connection", failure.freshConnection)
+                                         .milliseconds("after", failure.elapsed)
                                          .milliseconds("time_left", send.expiry - MonotonicClock::now()));
     }
     this->perform(this->scatter.onFailure(send.subrequestId, failure, MonotonicClock::now()));
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -66,22 +66,36 @@
     return known;
 }
 
-std::vector<std::string> RouteTables::outliersSince(TimePoint after) const
+ServerTroubles RouteTables::troublesBeyond(ReportedTroubles &reported) const
 {
-    std::vector<std::string> addresses;
+    ServerTroubles troubles;
+    std::map<ReplicaKey, ReportedTroubles::Totals> totals;
     for (const auto &[key, known] : this->servers) {
-        if (known.health->lastOutlier() > after) {
-            addresses.push_back(key.address);
+        const ReportedTroubles::Totals now{
+            .incarnation = known.incarnation, .outliers = known.health->outliers(), .failures = known.health->failedSubrequests()};
+        if (now.outliers == 0 && now.failures == 0) {
+            continue;
+        }
+        const auto found = reported.servers.find(key);
+        const bool sameRun = found != reported.servers.end() && found->second.incarnation == now.incarnation;
+        const ReportedTroubles::Totals before = sameRun ? found->second : ReportedTroubles::Totals{};
+        if (now.outliers != before.outliers) {
+            troubles.outliers[key.address] += static_cast<std::int32_t>(now.outliers - before.outliers);
+        }
+        if (now.failures != before.failures) {
+            troubles.failures[key.address] += static_cast<std::int32_t>(now.failures - before.failures);
         }
+        totals.emplace(key, now);
     }
-    return addresses;
+    reported.servers = std::move(totals);
+    return troubles;
 }
 
-void RouteTables::setSlow(const std::vector<std::string> &addresses)
+void RouteTables::setImpaired(const std::vector<std::string> &addresses)
 {
-    this->slowAddresses = std::set<std::string>(addresses.begin(), addresses.end());
+    this->impairedAddresses = std::set<std::string>(addresses.begin(), addresses.end());
     for (const auto &[key, known] : this->servers) {
-        known.health->setSlow(this->slowAddresses.contains(key.address));
+        known.health->setImpaired(this->impairedAddresses.contains(key.address));
     }
 }
 
@@ -105,6 +119,10 @@
 RouteTables::replicasOf(const RoutePlan &plan, const std::vector<BackendRecord> &records, std::size_t fronts, TimePoint now)
 {
     ReplicasByService replicas;
+    std::set<std::string> dataCentres;
+    for (const BackendRecord &record : records) {
+        dataCentres.insert(record.dataCentre);
+    }
     for (const BackendRecord &record : records) {
         const auto service = plan.services().find(record.key.service);
         if (service == plan.services().end()) {
@@ -118,9 +136,15 @@
             known = KnownServer{.incarnation = record.incarnation, .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now)};
         }
         known.health->setAccepting(record.state == BackendState::Ready);
-        known.health->setSlow(this->slowAddresses.contains(record.key.address));
-        replicas[record.key.service].push_back(
-            Replica{.record = record, .health = known.health, .share = connectionShare(service->second.connectionLimit, fronts)});
+        known.health->setImpaired(this->impairedAddresses.contains(record.key.address));
+        const std::uint32_t limit = service->second.connectionLimit;
+        replicas[record.key.service].push_back(Replica{.record = record,
+                                                       .health = known.health,
+                                                       .share = connectionShare(limit, fronts),
+                                                       .kept = keptConnections({.limit = limit,
+                                                                                .fronts = fronts,
+                                                                                .dataCentres = dataCentres.size(),
+                                                                                .near = record.dataCentre == this->options.dataCentre})});
     }
     return replicas;
 }
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -24,6 +24,28 @@
     double extraLoadSlack = 50.0;
 };
 
+// Subrequests by the address of their server.
+struct ServerTroubles
+{
+    // That took far longer than usual.
+    std::map<std::string, std::int32_t> outliers;
+    // That failed by the server's or its connection's fault.
+    std::map<std::string, std::int32_t> failures;
+};
+
+// Totals of one front when it last reported them to one control process.
+struct ReportedTroubles
+{
+    struct Totals
+    {
+        Incarnation incarnation = 0;
+        std::uint32_t outliers = 0;
+        std::uint32_t failures = 0;
+    };
+
+    std::map<ReplicaKey, Totals> servers;
+};
+
 class RouteTables
 {
 public:
@@ -37,10 +59,10 @@
     static std::string tableName(const std::string &service);
     static std::string tableName(const std::vector<std::string> &groups);
 
-    // Addresses of servers with a subrequest that took far longer than usual and ended after the time.
-    std::vector<std::string> outliersSince(TimePoint after) const;
-    // Replaces the servers that fronts together find slow.
-    void setSlow(const std::vector<std::string> &addresses);
+    // Troubles with servers beyond those that were reported, which the reported ones then contain.
+    ServerTroubles troublesBeyond(ReportedTroubles &reported) const;
+    // Replaces the servers that fronts together find slow or failing.
+    void setImpaired(const std::vector<std::string> &addresses);
 
     std::shared_ptr<ServicePolicies> policiesOf(const std::string &service);
 
@@ -60,7 +82,7 @@
 
     RouteTableOptions options;
     std::map<ReplicaKey, KnownServer> servers;
-    std::set<std::string> slowAddresses;
+    std::set<std::string> impairedAddresses;
     std::map<std::string, std::shared_ptr<ServicePolicies>> policies;
     // Services whose budget has its first tokens.
     std::set<std::string> granted;
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -23,6 +23,11 @@
 // Budget is earned by other queries, so looking for it more often only costs processor time.
 constexpr std::chrono::milliseconds budgetWaitTime{25};
 
+// A timer this late means that the process was busy or stood still. Replies of that time may wait to be read, so hedges are
+// put off once for long enough to read them.
+constexpr std::chrono::milliseconds lateTimer{5};
+constexpr std::chrono::milliseconds readingTime{5};
+
 // A subrequest that takes this many times the delay of a hedge isn't the usual tail.
 constexpr int outlierFactor = 2;
 
@@ -227,6 +232,7 @@
     query.selection = this->options.selection;
     query.tried = progress.tried;
     query.excluded = progress.excluded;
+    query.doubtFor = doubtTime(progress.policies->firstSends.mean());
     if (this->chosen) {
         query.snapshot = this->chosen->snapshot;
     }
@@ -267,7 +273,7 @@
     if (!progress.done && progress.retryAt && now >= *progress.retryAt) {
         this->attempt(index, now, actions);
     }
-    if (!progress.done && now >= progress.hedgeAt) {
+    if (!progress.done && now >= progress.hedgeAt && !this->putOffHedge(index, now)) {
         this->hedge(index, now, actions);
     }
 }
@@ -381,6 +387,18 @@
     this->hedgeLater(index, now);
 }
 
+bool Scatter::putOffHedge(std::size_t index, TimePoint now)
+{
+    GroupProgress &progress = this->groups[index];
+    if (progress.hedgePutOff || now - progress.hedgeAt < lateTimer) {
+        return false;
+    }
+    progress.hedgePutOff = true;
+    progress.hedgeAt = now + readingTime;
+    this->addWake(index, progress.hedgeAt);
+    return true;
+}
+
 void Scatter::hedgeLater(std::size_t index, TimePoint now)
 {
     GroupProgress &progress = this->groups[index];
@@ -412,6 +430,7 @@
     if (!isHedge && !progress.retryReason) {
         progress.policies->hedge.earn();
         progress.policies->retries.earn();
+        progress.policies->firstSends.note(now);
     }
     actions.send.push_back({
         .subrequestId = pending.subrequestId,
@@ -451,7 +470,7 @@
         const Pending pending = *this->takePending(progress.pending.back().subrequestId);
         actions.cancel.push_back(pending.subrequestId);
         if (this->isOutlier(progress, elapsed(pending.sentAt, now))) {
-            pending.replica->health->noteOutlier(now);
+            pending.replica->health->noteOutlier();
         }
         pending.replica->health->recordLatencyAtLeast(elapsed(pending.sentAt, now), now);
     }
@@ -494,11 +513,16 @@
     GroupProgress &progress = this->groups[index];
     pending.replica->health->recordSuccess(latency, now);
     if (this->isOutlier(progress, latency)) {
-        pending.replica->health->noteOutlier(now);
+        pending.replica->health->noteOutlier();
     }
     this->hedgeOf(progress).recordLatency(latency);
     progress.done = true;
     --this->unfinished;
+    for (const Pending &beaten : progress.pending) {
+        if (pending.hedge && !this->isOutlier(progress, elapsed(beaten.sentAt, now))) {
+            beaten.replica->health->noteOutlier();
+        }
+    }
     this->cancelPending(progress, now, actions);
     if (this->suspicion == Suspicion::Probing && this->probe == index) {
         this->suspicion = Suspicion::Cleared;
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -10,6 +10,7 @@
 #include "galenawell/query/snapshotchooser.h"
 #include "galenawell/routing/hedgepolicy.h"
 #include "galenawell/routing/replicachooser.h"
+#include "galenawell/routing/sendinterval.h"
 
 #include <chrono>
 #include <cstdint>
@@ -107,6 +108,7 @@
 
     HedgePolicy hedge;
     ExtraLoadBudget retries;
+    SendInterval firstSends;
     // Hedges are paid from `retries` too.
     bool sharedBudget = false;
 };
@@ -172,6 +174,8 @@
         std::optional<RetryReason> retryReason;
         bool nextIsFree = false;
         TimePoint hedgeAt = TimePoint::max();
+        // The hedge was put off because the timer came late.
+        bool hedgePutOff = false;
         // Set while the group waits for a free replica or for budget.
         std::optional<TimePoint> retryAt;
         std::optional<TimePoint> waitsSince;
@@ -244,6 +248,7 @@
     void wait(std::size_t index, std::chrono::microseconds base, TimePoint now);
     void hedge(std::size_t index, TimePoint now, ScatterActions &actions);
     void hedgeLater(std::size_t index, TimePoint now);
+    bool putOffHedge(std::size_t index, TimePoint now);
     void send(std::size_t index, const Replica &replica, bool isHedge, TimePoint now, ScatterActions &actions);
 
     std::optional<Pending> takePending(std::uint64_t subrequestId);
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -11,9 +11,9 @@
 constexpr double rampFloor = 0.1;
 // A replica is slow if its average latency is more than this many times that of the fastest.
 constexpr int slowFactor = 4;
-// How much worse a replica counts that fronts together found slow. Not more, or the sound replicas of a group whose others
+// How much worse a replica counts that fronts together found slow or failing. Not more, or the sound replicas of a group whose others
 // refuse most work, which are slow under that load, would be left for those.
-constexpr double foundSlowFactor = 4.0;
+constexpr double impairedFactor = 4.0;
 // How much worse a replica counts with a subrequest that is overdue: it may stand still.
 constexpr double overdueFactor = 10.0;
 // How many times better than a near replica a far one must be, for the time and the bytes of the way.
@@ -82,9 +82,9 @@
     {
         const bool far = this->query.nearDataCentre && replica.record.dataCentre != *this->query.nearDataCentre;
         const double distance = far ? farFactor : 1.0;
-        const double standing = replica.health->overdue(this->now) ? overdueFactor : 1.0;
-        const double slowness = std::max(standing, replica.health->slow() ? foundSlowFactor : 1.0);
-        return distance * slowness * replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
+        const double standing = replica.health->overdue(this->now, this->query.doubtFor) ? overdueFactor : 1.0;
+        const double doubt = std::max(standing, replica.health->impaired() ? impairedFactor : 1.0);
+        return distance * doubt * replica.health->score(this->now, fallback) / rampFraction(replica, this->options.rampUp, this->now);
     }
 
     // Moves the best one of a few random candidates to the front.
--- a/src/galenawell/routing/replicachooser.h
+++ b/src/galenawell/routing/replicachooser.h
@@ -37,6 +37,8 @@
     // False: no replica that is several times slower than the fastest, even if the faster ones have no free place.
     bool allowSlow = true;
     Selection selection = Selection::TwoChoices;
+    // How long a replica counts as worse after a subrequest that was overdue and had no reply since.
+    Duration doubtFor{0};
 };
 
 // True if some replica is ready, holds the snapshot and isn't excluded, whether or not it has a free place now.
--- a/src/galenawell/routing/replicahealth.cpp
+++ b/src/galenawell/routing/replicahealth.cpp
@@ -11,8 +11,6 @@
 constexpr std::int64_t averageDivisor = 8;
 // An average without samples halves in this time, so that a replica that is avoided for its latency is tried again.
 constexpr std::chrono::seconds averageHalfLife{5};
-// A replica that is overdue and was given nothing since is tried again after this time.
-constexpr std::chrono::milliseconds overdueLifetime{400};
 // A reported load says nothing about the present after this time.
 constexpr std::chrono::milliseconds reportLifetime{1000};
 // A fresh report counts half as much as this front's own requests, since it may be wrong and contains some of them.
@@ -115,6 +113,7 @@
 {
     this->addOutcome(true, now);
     const std::int64_t ticks = toTicks(now);
+    this->failureCount.fetch_add(1, std::memory_order_relaxed);
     std::int64_t until = this->ejectedUntil.load(std::memory_order_relaxed);
     if (ticks < until) {
         // Requests sent before the ejection fail after it; they must not prolong it.
@@ -182,30 +181,35 @@
     this->overdueSince.store(toTicks(now), std::memory_order_relaxed);
 }
 
-void ReplicaHealth::noteOutlier(TimePoint now)
+void ReplicaHealth::noteOutlier()
 {
-    this->lastOutlierAt.store(toTicks(now), std::memory_order_relaxed);
+    this->outlierCount.fetch_add(1, std::memory_order_relaxed);
 }
 
-TimePoint ReplicaHealth::lastOutlier() const
+std::uint32_t ReplicaHealth::outliers() const
 {
-    return fromTicks(this->lastOutlierAt.load(std::memory_order_relaxed));
+    return this->outlierCount.load(std::memory_order_relaxed);
 }
 
-void ReplicaHealth::setSlow(bool isSlow)
+std::uint32_t ReplicaHealth::failedSubrequests() const
 {
-    this->foundSlow.store(isSlow, std::memory_order_relaxed);
+    return this->failureCount.load(std::memory_order_relaxed);
 }
 
-bool ReplicaHealth::slow() const
+void ReplicaHealth::setImpaired(bool isImpaired)
 {
-    return this->foundSlow.load(std::memory_order_relaxed);
+    this->foundImpaired.store(isImpaired, std::memory_order_relaxed);
 }
 
-bool ReplicaHealth::overdue(TimePoint now) const
+bool ReplicaHealth::impaired() const
+{
+    return this->foundImpaired.load(std::memory_order_relaxed);
+}
+
+bool ReplicaHealth::overdue(TimePoint now, Duration lifetime) const
 {
     const std::int64_t since = this->overdueSince.load(std::memory_order_relaxed);
-    return since != 0 && fromTicks(since) + overdueLifetime > now;
+    return since != 0 && fromTicks(since) + lifetime > now;
 }
 
 void ReplicaHealth::setAccepting(bool accepts)
--- a/src/galenawell/routing/replicahealth.h
+++ b/src/galenawell/routing/replicahealth.h
@@ -64,15 +64,18 @@
     void setAccepting(bool accepts);
     bool accepting() const;
 
-    // A subrequest takes longer than nearly all others: the replica may stand still. Ends with its next reply.
+    // A subrequest takes longer than nearly all others: the replica may stand still. Ends with its next reply, or after the
+    // time without one.
     void noteOverdue(TimePoint now);
-    bool overdue(TimePoint now) const;
-    // A subrequest took far longer than usual, whether or not its reply was awaited.
-    void noteOutlier(TimePoint now);
-    TimePoint lastOutlier() const;
-    // Set while fronts together find the replica slow.
-    void setSlow(bool isSlow);
-    bool slow() const;
+    bool overdue(TimePoint now, Duration lifetime) const;
+    // A subrequest took far longer than usual, or its hedge was answered first.
+    void noteOutlier();
+    // Since the front knows the replica.
+    std::uint32_t outliers() const;
+    std::uint32_t failedSubrequests() const;
+    // Set while fronts together find the replica slow or failing.
+    void setImpaired(bool isImpaired);
+    bool impaired() const;
 
     bool ejected(TimePoint now) const;
     TimePoint ejectionEnd() const;
@@ -103,8 +106,9 @@
     std::atomic<std::int64_t> succeededAt{0};
     std::atomic<std::int64_t> heldOffUntil{0};
     std::atomic<std::int64_t> overdueSince{0};
-    std::atomic<std::int64_t> lastOutlierAt{0};
-    std::atomic<bool> foundSlow{false};
+    std::atomic<std::uint32_t> outlierCount{0};
+    std::atomic<std::uint32_t> failureCount{0};
+    std::atomic<bool> foundImpaired{false};
     // Moving average of failed or refused subrequests, in millionths, and when it was last updated.
     std::atomic<std::int64_t> failureShare{0};
     std::atomic<std::int64_t> failureShareAt{0};
--- a/src/galenawell/routing/routingtable.h
+++ b/src/galenawell/routing/routingtable.h
@@ -6,9 +6,11 @@
 #include "galenawell/core/identifiers.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/registry/partitionmap.h"
+#include "galenawell/routing/keptconnections.h"
 #include "galenawell/routing/replicahealth.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -23,6 +25,7 @@
     std::shared_ptr<ReplicaHealth> health;
     // Places of this front on the replica: connections and requests in flight.
     std::uint32_t share = 1;
+    KeptConnections kept{.lasting = std::numeric_limits<std::size_t>::max(), .briefly = std::chrono::hours(1)};
 };
 
 struct ServicePolicies;
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -112,6 +112,18 @@
         this->idle.push_back(std::move(connection));
     }
 
+    void closeIdle(TimePoint now)
+    {
+        const std::lock_guard lock(this->mutex);
+        // The last ones were used last.
+        const std::size_t surplus = this->idle.size() - std::min(this->idle.size(), this->lasting.load());
+        std::size_t index = 0;
+        std::erase_if(this->idle, [&](const std::shared_ptr<Connection> &connection) {
+            const std::chrono::milliseconds kept = index++ < surplus ? this->briefIdle.load() : connection->idleLimit;
+            return now - connection->lastReply >= kept;
+        });
+    }
+
     // Drops idle connections without a reply since the time: they may have gone silent like the one that timed out.
     void dropIdleSince(TimePoint time)
     {
@@ -120,7 +132,11 @@
     }
 
     std::mutex mutex;
+    // In the order of their last use.
     std::vector<std::shared_ptr<Connection>> idle;
+    // As the latest request stated them.
+    std::atomic<std::size_t> lasting{std::numeric_limits<std::size_t>::max()};
+    std::atomic<std::chrono::milliseconds> briefIdle{std::chrono::hours(1)};
     std::atomic<std::uint64_t> nextNumber{1};
     // Highest number of a connection with a reply, and when its last reply came.
     std::atomic<std::uint64_t> newestReplied{0};
@@ -159,6 +175,14 @@
     std::erase_if(this->servers, [&](const auto &entry) { return !kept.contains(entry.first); });
 }
 
+void BackendClient::closeIdle(TimePoint now)
+{
+    const std::shared_lock lock(this->mutex);
+    for (const auto &[address, server] : this->servers) {
+        server->closeIdle(now);
+    }
+}
+
 std::size_t BackendClient::idleConnections() const
 {
     const std::shared_lock lock(this->mutex);
@@ -174,6 +198,8 @@
 {
     const std::string address = request.address;
     std::shared_ptr<Server> server = this->serverFor(address);
+    server->lasting = request.lastingConnections;
+    server->briefIdle = request.briefIdle;
     std::shared_ptr<Connection> connection;
     if (!request.freshConnection) {
         connection = server->takeIdle(MonotonicClock::now());
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -46,6 +47,9 @@
     std::size_t maximumReplyBytes = std::size_t(4) * 1024 * 1024;
     // A fresh connection can't have gone silent while idle, which matters where a lost reply can't be asked again.
     bool freshConnection = false;
+    // Idle connections to the server that are kept; the others are closed after the second time without a request.
+    std::size_t lastingConnections = std::numeric_limits<std::size_t>::max();
+    std::chrono::milliseconds briefIdle = std::chrono::hours(1);
 };
 
 struct ExchangeResult
@@ -92,6 +96,8 @@
 
     // Closes idle connections to servers that aren't in the list.
     void retain(const std::vector<std::string> &addresses);
+    // Closes connections that were idle for longer than they are kept.
+    void closeIdle(TimePoint now);
     std::size_t idleConnections() const;
 
 private:
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -316,3 +316,24 @@
     }
     cr_assert(servers.archive.runs() == before);
 }
+
+// Guards against a leave that is acknowledged by a control process which doesn't know the server yet and so tells nobody,
+// while fronts go on using the server.
+Test(platform, a_leave_that_a_control_process_can_not_pass_on_is_not_acknowledged)
+{
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    Servers servers(installation);
+    cr_assert(installation.acknowledged(configuration(7, twoShards)));
+    cr_assert(eventually([&] { return allServe(installation); }));
+    // Cut off from the other two, the third neither knows a server that is new nor can it learn of it.
+    installation.signal("control1", SIGSTOP);
+    installation.signal("control2", SIGSTOP);
+    std::this_thread::sleep_for(2500ms);
+    const Call leave{.address = installation.controlAddress("control3"), .method = "DELETE", .target = "/v1/instances/i-unheard"};
+    cr_assert_eq(call(leave).status, 503);
+    installation.signal("control1", SIGCONT);
+    installation.signal("control2", SIGCONT);
+    // With all of them heard, nobody knows the server, so there is nothing left to tell.
+    cr_assert(eventually([&] { return call(leave).status == 200; }));
+}
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -227,9 +227,9 @@
         cr_assert(actions.send.front().replica->record.key.address != slow.record.key.address);
     }
     slow.health->recordSuccess(10ms, start + 2ms);
-    cr_assert(!slow.health->overdue(start + 3ms));
+    cr_assert(!slow.health->overdue(start + 3ms, 400ms));
     slow.health->noteOverdue(start + 4ms);
-    cr_assert(!slow.health->overdue(start + 10s));
+    cr_assert(!slow.health->overdue(start + 10s, 2s));
 }
 
 // Guards against replicas that refuse or lose most of their work drawing as much of it as sound ones.
@@ -281,3 +281,26 @@
     }
     cr_assert(chosen() != "z1");
 }
+
+// Guards against a process that stood still for a moment hedging everything, and blaming every server, before it reads the
+// replies that came meanwhile.
+Test(routedscatter, a_late_timer_leaves_time_to_read_replies_before_hedging)
+{
+    RoutedWorld world(4, 3);
+    for (int index = 0; index < 2000; ++index) {
+        world.shared->hedge.recordLatency(10ms);
+    }
+    ScatterOptions options = world.options(4);
+    options.answerBy = start + 900ms;
+    Scatter scatter = world.scatter(options);
+    const ScatterActions first = scatter.start(start);
+    const ScatterActions late = scatter.onTimer(start + 80ms);
+    cr_assert(late.send.empty());
+    for (std::size_t index = 0; index < 3; ++index) {
+        scatter.onReply(RoutedWorld::reply(first.send[index]), 10ms, {}, start + 81ms);
+    }
+    cr_assert(late.wakeAt.has_value() && *late.wakeAt <= start + 90ms);
+    const ScatterActions hedged = scatter.onTimer(*late.wakeAt);
+    cr_assert_eq(hedged.send.size(), 1);
+    cr_assert(hedged.send.front().hedge && hedged.send.front().group == first.send[3].group);
+}
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -134,3 +134,47 @@
     server.send(keepAliveReply);
     cr_assert(second.get().status == ExchangeStatus::Completed);
 }
+
+// Guards against idle connections that fill a server's places although the front hardly uses them.
+Test(backend_client, idle_connections_beyond_the_lasting_ones_are_closed_after_a_while)
+{
+    Pair pair;
+    std::vector<PlainSocket> servers;
+    std::vector<std::future<ExchangeResult>> results;
+    for (int index = 0; index < 3; ++index) {
+        ExchangeRequest request{.address = toString(pair.acceptor.local_endpoint()),
+                                .target = "/",
+                                .body = "question",
+                                .expiry = MonotonicClock::now() + longEnough,
+                                .lastingConnections = 1,
+                                .briefIdle = 1s};
+        results.push_back(pair.loop.start(pair.client.exchange(std::move(request), std::make_shared<ExchangeHandle>())));
+        servers.push_back(pair.accept());
+        servers.back().readUntil("question");
+    }
+    for (std::size_t index = 0; index < servers.size(); ++index) {
+        servers[index].send(keepAliveReply);
+        cr_assert(results[index].get().status == ExchangeStatus::Completed);
+    }
+    pair.client.closeIdle(MonotonicClock::now());
+    cr_assert_eq(pair.client.idleConnections(), 3);
+    pair.client.closeIdle(MonotonicClock::now() + 2s);
+    cr_assert_eq(pair.client.idleConnections(), 1);
+    pair.client.closeIdle(MonotonicClock::now() + 1min);
+    cr_assert_eq(pair.client.idleConnections(), 0);
+}
+
+// Guards against connections to servers that left, which stay open until the process ends.
+Test(backend_client, connections_to_servers_that_left_are_closed)
+{
+    Pair pair;
+    std::future<ExchangeResult> result = pair.exchange();
+    PlainSocket server = pair.accept();
+    server.readUntil("question");
+    server.send(keepAliveReply);
+    cr_assert(result.get().status == ExchangeStatus::Completed);
+    pair.client.retain({toString(pair.acceptor.local_endpoint())});
+    cr_assert_eq(pair.client.idleConnections(), 1);
+    pair.client.retain({"10.0.0.1:1"});
+    cr_assert_eq(pair.client.idleConnections(), 0);
+}
