--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -240,6 +240,8 @@
     // Newest revision that the sender knows, with or without the view.
     11: optional i64 revision
     12: optional string dataCentre
+    // A later run of the subscriber than the one that it states, if the sender knows one.
+    13: optional i64 laterRun
 }
 
 struct DrainRequest {
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -4,6 +4,7 @@
 #include "galenawell/consensus/raftcodec.h"
 #include "galenawell/consensus/voterplan.h"
 #include "galenawell/core/endpoint.h"
+#include "galenawell/core/incarnation.h"
 #include "galenawell/front/registrycodec.h"
 #include "galenawell/telemetry/log.h"
 
@@ -43,11 +44,6 @@
     return state.view();
 }
 
-Incarnation incarnationNow()
-{
-    return static_cast<Incarnation>(wallNow().time_since_epoch().count());
-}
-
 Wire::ProposeReply failureReply(const Error &error)
 {
     Wire::ProposeReply reply;
@@ -84,7 +80,7 @@
     , metrics(std::move(sharedMetrics))
     , events(std::move(eventLog))
     , traffic(std::make_shared<PeerTraffic>())
-    , incarnation(incarnationNow())
+    , incarnation(newIncarnation())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , fronts(FrontDirectoryOptions{})
     , impairedServers(ImpairedServersOptions{})
@@ -497,6 +493,11 @@
 Asio::awaitable<Wire::SubscriptionReply> ControlMember::handleSubscription(InstanceName peer, Wire::Subscription subscription)
 {
     const TimePoint now = MonotonicClock::now();
+    if (this->registry.outrun(static_cast<Incarnation>(subscription.registryIncarnation))) {
+        this->incarnation = this->registry.incarnation();
+        logger.warn(peer + " knows a later run of this process, so the clock was set back; it goes on as run "
+                    + std::to_string(this->incarnation));
+    }
     if (subscription.front) {
         this->fronts.report(FrontReport{.instance = peer,
                                         .incarnation = static_cast<Incarnation>(subscription.incarnation),
@@ -551,6 +552,10 @@
     }
     reply.liveFronts = static_cast<std::int32_t>(this->fronts.liveCount(now));
     reply.leader = this->status.leaderInstance;
+    if (const Incarnation known = this->fronts.newestRunOf(subscription.instance);
+        known > static_cast<Incarnation>(subscription.incarnation)) {
+        reply.__set_laterRun(static_cast<std::int64_t>(known));
+    }
     const std::vector<std::string> &impaired = this->impairedServers.list(now);
     reply.impairedVersion = this->impairedServers.version();
     if (subscription.front && (!sameRun || reply.impairedVersion != subscription.impairedVersion)) {
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -113,7 +113,8 @@
     std::shared_ptr<ReplicatedLog> log;
     std::shared_ptr<PeerServer> peerServer;
     std::shared_ptr<ControlSubscriptions> subscriptions;
-    const Incarnation incarnation;
+    // Raised when others know a later run of this process.
+    Incarnation incarnation;
     BackendRegistry registry;
     FrontDirectory fronts;
     ImpairedServers impairedServers;
--- a/src/galenawell/control/frontdirectory.cpp
+++ b/src/galenawell/control/frontdirectory.cpp
@@ -10,6 +10,12 @@
 {
 }
 
+Incarnation FrontDirectory::newestRunOf(const InstanceName &front) const
+{
+    const auto known = this->fronts.find(front);
+    return known == this->fronts.end() ? 0 : known->second.report.incarnation;
+}
+
 bool FrontDirectory::report(const FrontReport &front, TimePoint now)
 {
     Known &known = this->fronts[front.instance];
--- a/src/galenawell/control/frontdirectory.h
+++ b/src/galenawell/control/frontdirectory.h
@@ -39,6 +39,8 @@
     explicit FrontDirectory(FrontDirectoryOptions options);
 
     // True if callers would now get another answer.
+    // 0 for an unknown front.
+    Incarnation newestRunOf(const InstanceName &front) const;
     bool report(const FrontReport &front, TimePoint now);
     // Caller addresses, those of the caller's data centre alone if there are enough of them.
     std::vector<std::string> entriesFor(const std::string &dataCentre, TimePoint now) const;
--- a/src/galenawell/front/frontprocess.cpp
+++ b/src/galenawell/front/frontprocess.cpp
@@ -1,6 +1,7 @@
 #include "galenawell/front/frontprocess.h"
 
 #include "galenawell/control/controlprocess.h"
+#include "galenawell/core/incarnation.h"
 #include "galenawell/front/registrycodec.h"
 #include "galenawell/telemetry/log.h"
 
@@ -24,11 +25,6 @@
 constexpr std::chrono::milliseconds evidenceTimeout{300};
 constexpr std::chrono::milliseconds shutdownPoll{20};
 
-Incarnation newIncarnation()
-{
-    return static_cast<Incarnation>(wallNow().time_since_epoch().count());
-}
-
 } // namespace
 
 FrontProcess::FrontProcess(Asio::any_io_executor ioExecutor, ProcessSettings processSettings)
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -1,6 +1,7 @@
 #include "galenawell/front/routedfront.h"
 
 #include "galenawell/core/endpoint.h"
+#include "galenawell/core/incarnation.h"
 #include "galenawell/front/registrycodec.h"
 #include "galenawell/query/recordmerger.h"
 #include "galenawell/telemetry/log.h"
@@ -45,11 +46,6 @@
 // Until the latencies of a route are known, a hedge still has most of the objective for its own reply.
 constexpr int unlearntDivisor = 2;
 
-Incarnation incarnationNow()
-{
-    return static_cast<Incarnation>(wallNow().time_since_epoch().count());
-}
-
 } // namespace
 
 RoutedFront::RoutedFront(Asio::any_io_executor ioExecutor,
@@ -66,7 +62,7 @@
     , events(std::move(eventLog))
     , traffic(std::make_shared<PeerTraffic>())
     , client(this->executor, BackendClientOptions{.replacesCancelled = false})
-    , incarnation(incarnationNow())
+    , incarnation(newIncarnation())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , tables(RouteTableOptions{.dataCentre = this->settings.dataCentre,
                                .hedge = hedgeOptions,
@@ -381,6 +377,11 @@
     if (this->contactSince == TimePoint()) {
         this->contactSince = now;
     }
+    if (reply.__isset.laterRun && static_cast<Incarnation>(reply.laterRun) >= this->incarnation) {
+        this->incarnation = static_cast<Incarnation>(reply.laterRun) + 1;
+        logger.warn(control + " knows a later run of this front, so the clock was set back; it goes on as run "
+                    + std::to_string(this->incarnation));
+    }
     const auto run = static_cast<Incarnation>(reply.incarnation);
     this->registry.heardFrom(control, run, now);
     if (reply.__isset.registry) {
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -72,7 +72,8 @@
     std::shared_ptr<ControlSubscriptions> subscriptions;
     std::shared_ptr<HttpServer> callerServer;
     BackendClient client;
-    const Incarnation incarnation;
+    // Raised when a control process knows a later run of this front.
+    Incarnation incarnation;
     BackendRegistry registry;
     RouteTables tables;
     // Routes point into the plan; a request in flight keeps the plan it began with.
--- a/src/galenawell/registry/backendregistry.cpp
+++ b/src/galenawell/registry/backendregistry.cpp
@@ -300,6 +300,20 @@
     return update;
 }
 
+Incarnation BackendRegistry::incarnation() const
+{
+    return this->options.incarnation;
+}
+
+bool BackendRegistry::outrun(Incarnation known)
+{
+    if (known <= this->options.incarnation) {
+        return false;
+    }
+    this->options.incarnation = known + 1;
+    return true;
+}
+
 std::uint64_t BackendRegistry::newestChange() const
 {
     return this->changeNumber;
--- a/src/galenawell/registry/backendregistry.h
+++ b/src/galenawell/registry/backendregistry.h
@@ -97,6 +97,11 @@
     // Changes of this holder after a number that a peer acknowledged.
     RegistryUpdate updateSince(std::uint64_t acknowledged) const;
     std::uint64_t newestChange() const;
+    Incarnation incarnation() const;
+    // Takes a higher incarnation than one that another process knows of this holder, as after a clock that was set back.
+    // Without it the others would take what this holder says for that of an earlier run. True if it changed.
+    bool outrun(Incarnation known);
+
     // The number up to which this front has a holder's changes; 0 for an unknown holder or another incarnation.
     std::uint64_t appliedThrough(const InstanceName &holder, Incarnation holderIncarnation) const;
 
--- a/tests/unit/control/test_frontdirectory.cpp
+++ b/tests/unit/control/test_frontdirectory.cpp
@@ -51,6 +51,8 @@
     directory.report(later, start);
     cr_assert(!directory.report(front("a1", "a", false), start));
     cr_assert(directory.entriesFor("a", start).size() == 1);
+    // Told, a front that restarted with its clock behind can go beyond it.
+    cr_assert_eq(directory.newestRunOf("a1"), 2);
 }
 
 // Guards against shares of limits that shrink to nothing, or count fronts that are gone.
--- a/tests/unit/registry/test_backendregistry.cpp
+++ b/tests/unit/registry/test_backendregistry.cpp
@@ -147,3 +147,23 @@
     const PartitionMap twice{.service = "desk", .epoch = 1, .groups = {{"a", {"", "m"}}, {"a", {"m", ""}}}};
     cr_assert(twice.check().has_error());
 }
+
+// Guards against a holder that restarts while its clock is behind, and whose changes all others ignore as those of an
+// earlier run.
+Test(registry, a_holder_with_a_clock_set_back_is_followed_once_it_outruns_what_is_known)
+{
+    BackendRegistry before({.self = "f1", .incarnation = 900});
+    cr_assert(before.announce(server("a", 1), start).value());
+    BackendRegistry peer = registryOf("f2");
+    cr_assert(peer.applyUpdate(before.updateSince(0), start));
+
+    BackendRegistry restarted({.self = "f1", .incarnation = 400});
+    cr_assert(restarted.announce(server("a", 1, 2, BackendState::Draining), start).value());
+    cr_assert(peer.applyUpdate(restarted.updateSince(0), start));
+    cr_assert(peer.visible().front().state == BackendState::Ready);
+
+    cr_assert(restarted.outrun(peer.latestRunOf("f1").first));
+    cr_assert(not restarted.outrun(peer.latestRunOf("f1").first));
+    cr_assert(peer.applyUpdate(restarted.updateSince(0), start));
+    cr_assert(peer.visible().front().state == BackendState::Draining);
+}
