Give each front home replicas, so that many fronts keep and use few connections

Cause: with fewer places at a server than twice the fronts, a front had one place and no lasting connection at a server of another data centre.

Change: `markHomes` takes the replicas of the own data centre, or else one by rendezvous hashing; `placesAt` gives fronts two places at a home where all may have them; `keptConnections` keeps the lasting connection to homes.

--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -64,7 +64,7 @@
     , client(this->executor, BackendClientOptions{.replacesCancelled = false})
     , incarnation(newIncarnation())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
-    , tables(RouteTableOptions{.dataCentre = this->settings.dataCentre,
+    , tables(RouteTableOptions{.place = {.instance = this->settings.instance, .dataCentre = this->settings.dataCentre},
                                .hedge = hedgeOptions,
                                .extraLoadPercent = this->settings.extraLoadPercent,
                                .extraLoadSlack = this->settings.extraLoadSlack})
@@ -220,7 +220,7 @@
                            .idempotent = route.idempotent,
                            .suspectsLostConnections = false,
                            .hedge = this->hedgeFor(route),
-                           .prefersNear = true};
+                           .prefersHomes = true};
     if (!route.merges()) {
         options.makeCollector = [](const PartitionMap &) { return std::make_unique<ForwardedReplyCollector>(); };
         return options;
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -119,10 +119,6 @@
 RouteTables::replicasOf(const RoutePlan &plan, const std::vector<BackendRecord> &records, std::size_t fronts, TimePoint now)
 {
     ReplicasByService replicas;
-    std::set<std::string> dataCentres;
-    for (const BackendRecord &record : records) {
-        dataCentres.insert(record.dataCentre);
-    }
     for (const BackendRecord &record : records) {
         const auto service = plan.services().find(record.key.service);
         if (service == plan.services().end()) {
@@ -137,14 +133,17 @@
         }
         known.health->setAccepting(record.state == BackendState::Ready);
         known.health->setImpaired(this->impairedAddresses.contains(record.key.address));
-        const std::uint32_t limit = service->second.connectionLimit;
-        replicas[record.key.service].push_back(Replica{.record = record,
-                                                       .health = known.health,
-                                                       .share = connectionShare(limit, fronts),
-                                                       .kept = keptConnections({.limit = limit,
-                                                                                .fronts = fronts,
-                                                                                .dataCentres = dataCentres.size(),
-                                                                                .near = record.dataCentre == this->options.dataCentre})});
+        replicas[record.key.service].push_back(Replica{.record = record, .health = known.health});
+    }
+    for (auto &[service, own] : replicas) {
+        markHomes(own, this->options.place);
+        ServerConnections connections{
+            .limit = plan.services().at(service).connectionLimit, .fronts = fronts, .homeFronts = homeFronts(own, fronts)};
+        for (Replica &replica : own) {
+            connections.home = replica.home;
+            replica.share = placesAt(connections);
+            replica.kept = keptConnections(connections);
+        }
     }
     return replicas;
 }
@@ -185,7 +184,7 @@
     const ReplicasByService replicas = this->replicasOf(plan, records, fronts, now);
     auto table = std::make_shared<RoutingTable>();
     table->revision = revision;
-    table->dataCentre = this->options.dataCentre;
+    table->dataCentre = this->options.place.dataCentre;
     for (const Route &route : plan.routes()) {
         for (const WeightedService &target : route.services) {
             this->addTable(*table, tableName(target.service), {target.service}, replicas);
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -5,6 +5,7 @@
 #include "galenawell/configuration/routeplan.h"
 #include "galenawell/query/scatter.h"
 #include "galenawell/registry/backendregistry.h"
+#include "galenawell/routing/homereplicas.h"
 #include "galenawell/routing/routingtable.h"
 
 #include <map>
@@ -17,7 +18,7 @@
 
 struct RouteTableOptions
 {
-    std::string dataCentre;
+    FrontPlace place;
     HedgeOptions hedge{};
     // Of all fronts together; each takes its part.
     double extraLoadPercent = 20.0;
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -236,9 +236,7 @@
     if (this->chosen) {
         query.snapshot = this->chosen->snapshot;
     }
-    if (this->options.prefersNear) {
-        query.nearDataCentre = this->table->dataCentre;
-    }
+    query.prefersHomes = this->options.prefersHomes;
     return query;
 }
 
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -41,8 +41,8 @@
     bool suspectsLostConnections = true;
     // Latencies of this kind of work, where the groups' own mix several kinds.
     std::shared_ptr<HedgePolicy> hedge{};
-    // Replicas in the front's own data centre go first while they are no worse.
-    bool prefersNear = false;
+    // The front's homes go first while they are no worse.
+    bool prefersHomes = false;
     // Makes the collector of the replies; without it rows and aggregates are merged.
     std::function<std::unique_ptr<ReplyCollector>(const PartitionMap &)> makeCollector{};
 };
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -16,7 +16,7 @@
 constexpr double impairedFactor = 4.0;
 // How much worse a replica counts with a subrequest that is overdue: it may stand still.
 constexpr double overdueFactor = 10.0;
-// How many times better than a near replica a far one must be, for the time and the bytes of the way.
+// How many times better than a home another replica must be, for the time and the bytes of the way.
 constexpr double farFactor = 1.4;
 // Replicas of a group that may be ejected or on probation at once: one in this many.
 constexpr std::size_t ejectionDivisor = 3;
@@ -80,7 +80,7 @@
 
     double score(const Replica &replica, std::chrono::microseconds fallback) const
     {
-        const bool far = this->query.nearDataCentre && replica.record.dataCentre != *this->query.nearDataCentre;
+        const bool far = this->query.prefersHomes && !replica.home;
         const double distance = far ? farFactor : 1.0;
         const double standing = replica.health->overdue(this->now, this->query.doubtFor) ? overdueFactor : 1.0;
         const double doubt = std::max(standing, replica.health->impaired() ? impairedFactor : 1.0);
--- a/src/galenawell/routing/replicachooser.h
+++ b/src/galenawell/routing/replicachooser.h
@@ -30,8 +30,8 @@
     bool excludeTried = false;
     // Replicas that can't serve this query at all.
     std::vector<std::string> excluded;
-    // Replicas elsewhere are taken only if they are better by the cost of the way.
-    std::optional<std::string> nearDataCentre;
+    // Replicas that aren't homes are taken only if they are better by the cost of the way.
+    bool prefersHomes = false;
     // Hedges prefer a data centre other than this.
     std::optional<std::string> avoidDataCentre;
     // False: no replica that is several times slower than the fastest, even if the faster ones have no free place.
--- a/src/galenawell/routing/routingtable.h
+++ b/src/galenawell/routing/routingtable.h
@@ -6,8 +6,8 @@
 #include "galenawell/core/identifiers.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/registry/partitionmap.h"
-#include "galenawell/routing/keptconnections.h"
 #include "galenawell/routing/replicahealth.h"
+#include "galenawell/routing/serverconnections.h"
 
 #include <cstdint>
 #include <limits>
@@ -25,6 +25,8 @@
     std::shared_ptr<ReplicaHealth> health;
     // Places of this front on the replica: connections and requests in flight.
     std::uint32_t share = 1;
+    // Used first while the other replicas are no better by the cost of the way.
+    bool home = false;
     KeptConnections kept{.lasting = std::numeric_limits<std::size_t>::max(), .briefly = std::chrono::hours(1)};
 };
 
--- a/src/galenawell/routing/keptconnections.h
+++ b/src/galenawell/routing/serverconnections.h
@@ -1,5 +1,6 @@
-// How many idle connections a front keeps to a backend server, and for how long. Answers a power loss of many fronts: the
-// server goes on holding their old connections for a while, and must have places for the new ones all the same.
+// How many requests a front has at a backend server at once, and how many idle connections it keeps to it. Answers more
+// fronts than a server takes connections, and a power loss of many fronts: the server goes on holding their old connections
+// for a while, and must have places for the new ones all the same.
 #pragma once
 
 #include <chrono>
@@ -13,10 +14,10 @@
     // Connections that the server takes from all fronts together.
     std::uint32_t limit = 1;
     std::size_t fronts = 1;
-    // Over which the fronts and the servers are spread.
-    std::size_t dataCentres = 1;
-    // The server is in the front's own data centre.
-    bool near = false;
+    // Fronts that have the server as a home.
+    std::size_t homeFronts = 1;
+    // This front is one of them.
+    bool home = false;
 };
 
 struct KeptConnections
@@ -28,5 +29,7 @@
 };
 
 KeptConnections keptConnections(const ServerConnections &server);
+// Requests of this front at the server at once.
+std::uint32_t placesAt(const ServerConnections &server);
 
 } // namespace Galenawell
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -259,20 +259,19 @@
     cr_assert(replicas[0].health->reliability(start + 30s) > 0.99);
 }
 
-// Guards against bytes between data centres for replicas that are no better than a near one.
-Test(routedscatter, a_near_replica_is_chosen_unless_a_far_one_is_better)
+// Guards against bytes between data centres for replicas that are no better than a home.
+Test(routedscatter, a_home_is_chosen_unless_another_replica_is_better)
 {
     RoutedWorld world(1, 3);
-    auto table = std::make_shared<RoutingTable>();
-    table->dataCentre = "z1";
+    world.service.groups.at("g0")[1].home = true;
     ScatterOptions options = world.options(1);
-    options.prefersNear = true;
+    options.prefersHomes = true;
     options.selection = Selection::ThreeChoices;
     for (const Replica &replica : world.service.groups.at("g0")) {
         replica.health->recordSuccess(10ms, start);
     }
     const auto chosen = [&] {
-        Scatter scatter(options, table, world.service, world.shared, 7);
+        Scatter scatter(options, std::make_shared<RoutingTable>(), world.service, world.shared, 7);
         return scatter.start(start + 1ms).send.front().replica->record.dataCentre;
     };
     cr_assert(chosen() == "z1");
