--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -460,6 +460,7 @@
     this->table = this->tables.build(*this->plan, servers, this->frontCount, this->revision, this->rebuiltAt);
     this->metrics->set(GaugeName::BackendServers, static_cast<double>(servers.size()));
     std::vector<std::string> addresses;
+    addresses.reserve(servers.size());
     for (const BackendRecord &server : servers) {
         addresses.push_back(server.key.address);
     }
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -516,6 +516,7 @@
     this->hedgeOf(progress).recordLatency(latency);
     progress.done = true;
     --this->unfinished;
+    // A server that a hedge beat is slow; cancelPending notes those that are slower still.
     for (const Pending &beaten : progress.pending) {
         if (pending.hedge && !this->isOutlier(progress, elapsed(beaten.sentAt, now))) {
             beaten.replica->health->noteOutlier();
--- a/src/galenawell/routing/homereplicas.cpp
+++ b/src/galenawell/routing/homereplicas.cpp
@@ -34,6 +34,7 @@
         return;
     }
     std::vector<std::pair<std::uint64_t, Replica *>> preferred;
+    preferred.reserve(replicas.size());
     for (Replica &replica : replicas) {
         preferred.emplace_back(preference(front, replica), &replica);
     }
