--- a/src/galenawell/control/recoveryfile.cpp
+++ b/src/galenawell/control/recoveryfile.cpp
@@ -52,9 +52,14 @@
     }
     RecoveryHint hint;
     BOOST_OUTCOME_TRY(hint.view, decodeControlView(record.value().view));
-    BOOST_OUTCOME_TRY(const RegistryUpdate servers, fromMessage(record.value().registry, InstanceName(), 0));
+    const RegistryUpdate servers = fromMessage(record.value().registry, "the recovery file", 0);
+    if (const std::optional<std::string> defects = describeDefects(servers)) {
+        logger.warn(*defects);
+    }
     for (const RegistryChange &change : servers.changes) {
-        hint.servers.push_back(change.record);
+        if (change.defect.empty()) {
+            hint.servers.push_back(change.record);
+        }
     }
     return hint;
 }
--- a/src/galenawell/core/reasons.cpp
+++ b/src/galenawell/core/reasons.cpp
@@ -49,6 +49,7 @@
     "hedge",
     "server_failed",
     "wrong_server",
+    "reply_too_large",
 };
 
 constexpr std::array<std::string_view, priorityCount> priorityNames{"urgent", "standard", "bulk"};
--- a/src/galenawell/core/reasons.h
+++ b/src/galenawell/core/reasons.h
@@ -54,6 +54,7 @@
     Hedge,
     ServerFailed,
     WrongServer,
+    ReplyTooLarge,
     Count,
 };
 
--- a/src/galenawell/front/frontstate.cpp
+++ b/src/galenawell/front/frontstate.cpp
@@ -277,8 +277,8 @@
     reply.needFullRegistry = false;
     this->registry.renewOrigin(heartbeat.instance, peerIncarnation, now);
     if (heartbeat.__isset.registry) {
-        Result<RegistryUpdate> update = fromMessage(heartbeat.registry, heartbeat.instance, peerIncarnation);
-        reply.needFullRegistry = !update || !this->registry.applyUpdate(update.value(), now);
+        const RegistryUpdate update = fromMessage(heartbeat.registry, heartbeat.instance, peerIncarnation);
+        reply.needFullRegistry = !this->registry.applyUpdate(update, now);
         this->rebuildTable(now);
     }
     for (const Wire::CrashEvidenceMessage &item : heartbeat.evidence) {
--- a/src/galenawell/front/registrycodec.cpp
+++ b/src/galenawell/front/registrycodec.cpp
@@ -2,6 +2,7 @@
 
 #include "galenawell/core/endpoint.h"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 constexpr std::array<std::string_view, 4> stateNames{"starting", "ready", "draining", "stopped"};
 constexpr std::size_t maximumVersions = 64;
 constexpr std::uint64_t maximumCapacity = 100'000;
+constexpr std::size_t maximumNameBytes = 1024;
 
 Error fieldError(const std::string &field, const std::string &allowed)
 {
@@ -65,11 +67,31 @@
     return entry;
 }
 
-Result<BackendRecord> fromMessage(const Wire::BackendEntry &entry)
+// What makes the entry unusable; empty for a usable one.
+std::string defectOf(const Wire::BackendEntry &entry)
 {
+    const auto isName = [](const std::string &name) { return name.size() <= maximumNameBytes; };
     if (entry.state < 0 || entry.state >= static_cast<std::int32_t>(stateNames.size())) {
-        return makeError(ErrorKind::MalformedFrame, "a registry change has the unknown state " + std::to_string(entry.state));
+        return "unknown state " + std::to_string(entry.state);
     }
+    if (!isName(entry.serviceName) || !isName(entry.group) || !isName(entry.dataCentre) || !isName(entry.identity)
+        || !isName(entry.rangeBegin) || !isName(entry.rangeEnd)) {
+        return "a name is longer than " + std::to_string(maximumNameBytes) + " bytes";
+    }
+    if (!isName(entry.address) || !parseEndpoint(entry.address)) {
+        return "the address isn't an IP number and a port";
+    }
+    if (entry.incarnation < 0 || entry.sequence < 0 || entry.epoch < 0 || entry.slots < 0 || entry.connections < 0) {
+        return "a number is negative";
+    }
+    if (entry.versions.size() > maximumVersions) {
+        return "more than " + std::to_string(maximumVersions) + " versions";
+    }
+    return {};
+}
+
+BackendRecord fromMessage(const Wire::BackendEntry &entry)
+{
     BackendRecord record;
     record.key = ReplicaKey{.service = entry.serviceName, .group = entry.group, .address = entry.address};
     record.dataCentre = entry.dataCentre;
@@ -137,7 +159,7 @@
     return message;
 }
 
-Result<RegistryUpdate> fromMessage(const Wire::RegistryUpdateMessage &message, const InstanceName &origin, Incarnation incarnation)
+RegistryUpdate fromMessage(const Wire::RegistryUpdateMessage &message, const InstanceName &origin, Incarnation incarnation)
 {
     RegistryUpdate update;
     update.origin = origin;
@@ -147,13 +169,28 @@
     for (const Wire::BackendChange &wire : message.changes) {
         RegistryChange change;
         change.number = static_cast<std::uint64_t>(wire.number);
-        BOOST_OUTCOME_TRY(change.record, fromMessage(wire.entry));
+        change.defect = defectOf(wire.entry);
+        if (change.defect.empty() || wire.removed) {
+            change.record = fromMessage(wire.entry);
+        }
         change.removed = wire.removed;
         update.changes.push_back(std::move(change));
     }
     return update;
 }
 
+std::optional<std::string> describeDefects(const RegistryUpdate &update)
+{
+    const auto isDefective = [](const RegistryChange &change) { return !change.defect.empty(); };
+    const auto first = std::ranges::find_if(update.changes, isDefective);
+    if (first == update.changes.end()) {
+        return std::nullopt;
+    }
+    const auto count = std::ranges::count_if(update.changes, isDefective);
+    return std::to_string(count) + " of " + std::to_string(update.changes.size()) + " backend servers from " + update.origin
+        + " are left out, the first is change " + std::to_string(first->number) + ": " + first->defect;
+}
+
 Wire::CrashEvidenceMessage toMessage(const CrashEvidence &evidence)
 {
     Wire::CrashEvidenceMessage message;
--- a/src/galenawell/front/registrycodec.h
+++ b/src/galenawell/front/registrycodec.h
@@ -12,7 +12,10 @@
 namespace Galenawell {
 
 Wire::RegistryUpdateMessage toMessage(const RegistryUpdate &update);
-Result<RegistryUpdate> fromMessage(const Wire::RegistryUpdateMessage &message, const InstanceName &origin, Incarnation incarnation);
+// Entries that can't be used are marked with their defect, so that one of them doesn't hold back the others.
+RegistryUpdate fromMessage(const Wire::RegistryUpdateMessage &message, const InstanceName &origin, Incarnation incarnation);
+// One line about the entries with a defect; nothing if there are none.
+std::optional<std::string> describeDefects(const RegistryUpdate &update);
 
 Wire::CrashEvidenceMessage toMessage(const CrashEvidence &evidence);
 CrashEvidence fromMessage(const Wire::CrashEvidenceMessage &message);
--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -17,6 +17,9 @@
     case ExchangeStatus::TimedOut:
         failure.reason = RetryReason::Timeout;
         break;
+    case ExchangeStatus::TooLarge:
+        failure.reason = RetryReason::ReplyTooLarge;
+        break;
     default:
         failure.reason = RetryReason::ConnectionLost;
         break;
--- a/src/galenawell/registry/backendregistry.cpp
+++ b/src/galenawell/registry/backendregistry.cpp
@@ -258,7 +258,9 @@
         }
         this->removeAllRemote(*origin);
         for (const RegistryChange &change : update.changes) {
-            this->putRemote(*origin, change.record);
+            if (change.defect.empty()) {
+                this->putRemote(*origin, change.record);
+            }
         }
         origin->through = update.through;
         return true;
@@ -272,7 +274,7 @@
         }
         if (change.removed) {
             this->removeRemote(*origin, change.record.key);
-        } else {
+        } else if (change.defect.empty()) {
             this->putRemote(*origin, change.record);
         }
         origin->through = change.number;
--- a/src/galenawell/registry/backendregistry.h
+++ b/src/galenawell/registry/backendregistry.h
@@ -55,6 +55,8 @@
     std::uint64_t number = 0;
     BackendRecord record;
     bool removed = false;
+    // What is wrong with a received entry; it only takes its number. Empty for a usable entry.
+    std::string defect;
 };
 
 struct RegistryUpdate
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -14,6 +14,8 @@
 // Idle connections are closed before the server's keep-alive timeout, by this fraction (1/n) of it.
 constexpr int keepAliveMarginDivisor = 4;
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
+// Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
+constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
 
 // The timeout parameter of a Keep-Alive header field.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
@@ -28,6 +30,11 @@
     return std::chrono::seconds(seconds);
 }
 
+bool exceedsLimit(const Beast::error_code &error)
+{
+    return error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow;
+}
+
 Http::request<Http::string_body> makeMessage(ExchangeRequest &request)
 {
     Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
@@ -80,7 +87,7 @@
     }
 
     Beast::tcp_stream stream;
-    Beast::flat_buffer buffer;
+    Beast::flat_buffer buffer{maximumBufferedBytes};
     // 0 until the connection is established; later connections to a server have higher numbers.
     std::uint64_t number = 0;
     // Exchanges on this connection so far, so that a late cancel can't close it under the next one.
@@ -146,6 +153,7 @@
 BackendClient::BackendClient(Asio::any_io_executor ioExecutor, BackendClientOptions clientOptions)
     : executor(std::move(ioExecutor))
     , options(clientOptions)
+    , replyMemory(std::make_shared<ReplyMemory>(clientOptions.replyMemoryBytes))
 {
 }
 
@@ -194,6 +202,11 @@
     return count;
 }
 
+std::size_t BackendClient::replyBytes() const
+{
+    return this->replyMemory->used();
+}
+
 Asio::awaitable<ExchangeResult> BackendClient::exchange(ExchangeRequest request, std::shared_ptr<ExchangeHandle> handle)
 {
     const std::string address = request.address;
@@ -251,6 +264,23 @@
     server->putIdle(std::move(connection));
 }
 
+// Reads in parts, so that the memory of an endless reply is noticed before the limit of a single one.
+Asio::awaitable<Beast::error_code>
+BackendClient::readReply(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyReservation &reservation)
+{
+    parser.eager(true);
+    while (!parser.is_done()) {
+        auto [error, bytes] = co_await Http::async_read_some(connection->stream, connection->buffer, parser, awaitResult);
+        if (error) {
+            co_return error;
+        }
+        if (!reservation.grow(bytes)) {
+            co_return Beast::error_code(Http::error::body_limit);
+        }
+    }
+    co_return Beast::error_code();
+}
+
 Asio::awaitable<ExchangeResult> BackendClient::runExchange(std::shared_ptr<Server> server,
                                                            std::shared_ptr<Connection> connection,
                                                            ExchangeRequest request,
@@ -288,18 +318,22 @@
         result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
         co_return result;
     }
-    Http::response_parser<Http::string_body> parser;
+    ReplyReservation reservation(this->replyMemory);
+    ReplyParser parser;
+    parser.header_limit(request.maximumReplyHeaderBytes);
     parser.body_limit(request.maximumReplyBytes);
     Beast::error_code readError = writeError;
     if (!readError) {
-        auto [error, ignoredBytes] = co_await Http::async_read(stream, connection->buffer, parser, awaitResult);
-        readError = error;
+        readError = co_await readReply(connection, parser, reservation);
     }
     const TimePoint now = MonotonicClock::now();
     result.latency = std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt);
     if (readError) {
         const bool timedOut = readError == Beast::error::timeout;
         result.status = timedOut ? ExchangeStatus::TimedOut : ExchangeStatus::Lost;
+        if (exceedsLimit(readError)) {
+            result.status = ExchangeStatus::TooLarge;
+        }
         if (handle->cancelled()) {
             result.status = ExchangeStatus::Cancelled;
         }
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -5,6 +5,7 @@
 #include "galenawell/core/clock.h"
 #include "galenawell/transport/asio.h"
 #include "galenawell/transport/httpheader.h"
+#include "galenawell/transport/replymemory.h"
 
 #include <atomic>
 #include <chrono>
@@ -27,6 +28,8 @@
     Lost,
     // No complete reply before the expiry.
     TimedOut,
+    // The reply exceeds a limit, possibly because it never ends; the request may have run.
+    TooLarge,
     Cancelled,
 };
 
@@ -45,6 +48,8 @@
     // Of the connection attempt, besides the expiry.
     std::chrono::milliseconds connectTimeout = std::chrono::hours(1);
     std::size_t maximumReplyBytes = std::size_t(4) * 1024 * 1024;
+    // Of the status line and the header fields.
+    std::uint32_t maximumReplyHeaderBytes = 16 * 1024;
     // Uses a new connection, as an idle one may have broken unnoticed; for requests that can't be retried after a lost reply.
     bool freshConnection = false;
     // Idle connections to the server beyond minimumIdle are closed after surplusIdleTimeout.
@@ -84,6 +89,8 @@
 {
     // Opens an idle connection in place of one that a cancel closed, so that the next request needn't wait for the connect.
     bool reconnectAfterCancel = true;
+    // Limit of all replies that are being read at once.
+    std::size_t replyMemoryBytes = std::size_t(32) * 1024 * 1024;
 };
 
 class BackendClient
@@ -99,6 +106,8 @@
     // Closes connections whose idle timeout has passed.
     void closeIdle(TimePoint now);
     std::size_t idleConnections() const;
+    // Memory of the replies that are being read.
+    std::size_t replyBytes() const;
 
 private:
     struct Connection;
@@ -109,12 +118,16 @@
                                                 std::shared_ptr<Connection> connection,
                                                 ExchangeRequest request,
                                                 std::shared_ptr<ExchangeHandle> handle);
+    using ReplyParser = Http::response_parser<Http::string_body>;
+    static Asio::awaitable<Beast::error_code>
+    readReply(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyReservation &reservation);
 
     static Asio::awaitable<void>
     openIdleConnection(std::shared_ptr<Server> server, std::shared_ptr<Connection> connection, std::string address);
 
     Asio::any_io_executor executor;
     BackendClientOptions options;
+    std::shared_ptr<ReplyMemory> replyMemory;
     mutable std::shared_mutex mutex;
     std::map<std::string, std::shared_ptr<Server>> servers;
 };
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -2,6 +2,7 @@
 #include "galenawell/transport/backendclient.h"
 #include "loopback.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
 #include <thread>
 
@@ -164,6 +165,133 @@
     cr_assert_eq(fixture.client.idleConnections(), 0);
 }
 
+// Guards against a reply whose end is missing being taken for a whole one, wherever the server stops.
+Test(backend_client, a_reply_cut_at_any_byte_is_not_completed)
+{
+    const std::vector<std::string> replies{
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Proof: s\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nX-Proof: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    };
+    for (const std::string &reply : replies) {
+        for (std::size_t length = 0; length <= reply.size(); ++length) {
+            ClientFixture fixture;
+            std::future<ExchangeResult> result = fixture.exchange();
+            {
+                PlainSocket server = fixture.accept();
+                server.readUntil("question");
+                server.send(reply.substr(0, length));
+            }
+            const ExchangeResult exchange = result.get();
+            const bool whole = length == reply.size();
+            cr_assert((exchange.status == ExchangeStatus::Completed) == whole, "%zu of %zu bytes", length, reply.size());
+            cr_assert(!whole || exchange.body == "body");
+        }
+    }
+}
+
+// Guards against a head cut before its length being taken for a reply that ends with the connection.
+Test(backend_client, a_reply_without_a_length_is_completed_only_with_a_whole_head)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Proof: s\r\n\r\n";
+    for (std::size_t length = 0; length <= head.size(); ++length) {
+        ClientFixture fixture;
+        std::future<ExchangeResult> result = fixture.exchange();
+        {
+            PlainSocket server = fixture.accept();
+            server.readUntil("question");
+            server.send(head.substr(0, length));
+        }
+        cr_assert((result.get().status == ExchangeStatus::Completed) == (length == head.size()), "%zu bytes", length);
+    }
+}
+
+namespace {
+
+// Sends the part again and again until the client closes the connection; returns the number of bytes.
+std::size_t sendWithoutEnd(PlainSocket &server, const std::string &part)
+{
+    std::size_t sent = 0;
+    Beast::error_code error;
+    while (!error) {
+        sent += Asio::write(server.socket, Asio::buffer(part), error);
+    }
+    return sent;
+}
+
+} // namespace
+
+// Guards against a server whose reply never ends taking the front's memory or its time until the deadline.
+Test(backend_client, a_reply_without_end_is_dropped_in_every_part_of_the_message)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(4096, 'x');
+    const std::vector<std::pair<std::string, std::string>> replies{
+        {"", filler},
+        {head, "X-Header: " + filler.substr(0, 500) + "\r\n"},
+        {head + "X-Header: ", filler},
+        {head + "\r\n", filler},
+        {chunked, "1000\r\n" + filler + "\r\n"},
+        {chunked + "4;name=", filler},
+        {chunked + "0\r\n", "X-Trailer: " + filler.substr(0, 500) + "\r\n"},
+    };
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+        ClientFixture fixture;
+        std::future<ExchangeResult> result = fixture.exchange();
+        PlainSocket server = fixture.accept();
+        server.readUntil("question");
+        server.send(replies[index].first);
+        sendWithoutEnd(server, replies[index].second);
+        const ExchangeStatus status = result.get().status;
+        cr_assert(status == ExchangeStatus::TooLarge || status == ExchangeStatus::Lost, "reply %zu", index);
+        cr_assert_eq(fixture.client.idleConnections(), 0);
+        cr_assert_eq(fixture.client.replyBytes(), 0);
+    }
+}
+
+// Guards against many servers whose replies never end taking the memory of the process, each below the limit of one reply,
+// and against dropping the replies of working servers instead.
+Test(backend_client, the_memory_of_all_replies_together_is_bounded)
+{
+    constexpr std::size_t limit = std::size_t(1024) * 1024;
+    ClientFixture fixture;
+    BackendClient client{fixture.ioThread.context.get_executor(), BackendClientOptions{.replyMemoryBytes = limit}};
+    const auto exchange = [&] {
+        ExchangeRequest request{.address = toString(fixture.acceptor.local_endpoint()),
+                                .target = "/",
+                                .body = "question",
+                                .expiry = MonotonicClock::now() + generousTimeout};
+        return fixture.ioThread.start(client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
+    };
+    std::future<ExchangeResult> working = exchange();
+    PlainSocket workingServer = fixture.accept();
+    std::vector<std::future<ExchangeResult>> endless;
+    std::vector<std::jthread> servers;
+    std::atomic<std::size_t> highest{0};
+    for (int index = 0; index < 8; ++index) {
+        endless.push_back(exchange());
+        servers.emplace_back([&client, &highest, socket = std::make_shared<PlainSocket>(fixture.accept())] {
+            socket->readUntil("question");
+            socket->send("HTTP/1.1 200 OK\r\n\r\n");
+            Beast::error_code error;
+            while (!error) {
+                Asio::write(socket->socket, Asio::buffer(std::string(16384, 'x')), error);
+                highest = std::max(highest.load(), client.replyBytes());
+            }
+        });
+    }
+    for (std::future<ExchangeResult> &result : endless) {
+        cr_assert(result.get().status == ExchangeStatus::TooLarge);
+    }
+    servers.clear();
+    // The last read of each reply may exceed the limit.
+    cr_assert_leq(highest.load(), 2 * limit);
+    workingServer.readUntil("question");
+    workingServer.send(keepAliveReply);
+    cr_assert(working.get().status == ExchangeStatus::Completed);
+    cr_assert_eq(client.replyBytes(), 0);
+}
+
 // Guards against connections to removed servers staying open until the process ends.
 Test(backend_client, connections_to_removed_servers_are_closed)
 {
