Give callers few fronts of a large fleet, refill the extra load budget by time, send views as patches

Change: the directory names a quarter of a data centre's fronts, at least 8, chosen by a hash on which all control processes agree, more while their event loops are late; limits and budgets are divided among these, by all live fronts for the others. Views are compressed with the subscriber's view as the dictionary. Standby fronts report once a second. The list of impaired servers comes from one control process.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -220,6 +220,10 @@
     16: optional map<string, i32> failures
     // Number of scatter-gather requests since the sender's last subscription.
     17: optional i32 scatters
+    // Recent mean time in microseconds for which the sender's event loop is late.
+    18: optional i32 loopDelay
+    // True if the sender can decode viewPatch.
+    19: optional bool acceptsPatch
 }
 
 struct SubscriptionReply {
@@ -242,6 +246,12 @@
     12: optional string dataCentre
     // Incarnation of a later run of the subscriber than the stated one, if the sender has a record of one.
     13: optional i64 laterRun
+    // Number of fronts that carry traffic; absent while the sender doesn't know.
+    14: optional i32 entryFronts
+    // Whether the sender gives callers the subscriber's address.
+    15: optional bool entry
+    // The view, compressed with the subscriber's one as the dictionary; instead of view.
+    16: optional binary viewPatch
 }
 
 struct DrainRequest {
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -82,7 +82,7 @@
     , traffic(std::make_shared<PeerTraffic>())
     , incarnation(newIncarnation())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
-    , fronts(FrontDirectoryOptions{})
+    , fronts(FrontDirectoryOptions{.startedAt = MonotonicClock::now()})
     , impairedServers(ImpairedServersOptions{})
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
@@ -274,6 +274,7 @@
         const TimePoint now = MonotonicClock::now();
         const bool registryChanged = this->registry.expire(now);
         this->fronts.expire(now);
+        this->updateEntries(now);
         this->retiredServers.expire(now);
         for (const Member &member : this->logStatus.membership.members) {
             this->subscriptions->add(member.instance);
@@ -306,6 +307,18 @@
     }
 }
 
+void ControlMember::updateEntries(TimePoint now)
+{
+    for (const EntrySetChange &change : this->fronts.updateEntries(now)) {
+        this->events->write(EventKind::State,
+                            Event("entry_set")
+                                .text("data_centre", change.dataCentre)
+                                .number("entries", static_cast<std::int64_t>(change.entries))
+                                .number("available", static_cast<std::int64_t>(change.available))
+                                .milliseconds("loop_delay", change.loopDelay));
+    }
+}
+
 void ControlMember::logImpairedServers(TimePoint now)
 {
     const std::vector<std::string> &impaired = this->impairedServers.list(now);
@@ -483,12 +496,33 @@
     co_return reply;
 }
 
-bool ControlMember::hasUpdates(const Wire::Subscription &subscription) const
+bool ControlMember::hasNewerView(const Wire::Subscription &subscription) const
 {
     const bool wantsView = !subscription.__isset.wantsView || subscription.wantsView;
-    const bool newerView = wantsView && this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision);
+    return wantsView && this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision);
+}
+
+void ControlMember::addView(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply)
+{
+    if (this->viewPatches.newestRevision() != this->view->revision) {
+        this->viewPatches.setNewest(this->view->revision, encodeControlView(*this->view));
+    }
+    if (subscription.acceptsPatch) {
+        Result<std::string> patch = this->viewPatches.patchFrom(static_cast<std::uint64_t>(subscription.revision));
+        if (patch) {
+            reply.__set_viewPatch(std::move(patch.value()));
+            return;
+        }
+        logger.warn(patch.error().message());
+    }
+    reply.__set_view(this->viewPatches.newest());
+}
+
+bool ControlMember::hasUpdates(const Wire::Subscription &subscription) const
+{
     const bool sameIncarnation = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
-    return newerView || !sameIncarnation || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
+    return this->hasNewerView(subscription) || !sameIncarnation
+        || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
 }
 
 Asio::awaitable<Wire::SubscriptionReply> ControlMember::handleSubscription(InstanceName peer, Wire::Subscription subscription)
@@ -504,7 +538,9 @@
                                         .incarnation = static_cast<Incarnation>(subscription.incarnation),
                                         .callerAddress = subscription.callerAddress,
                                         .dataCentre = subscription.dataCentre,
-                                        .accepting = subscription.accepting},
+                                        .accepting = subscription.accepting,
+                                        .reportInterval = std::chrono::milliseconds(std::max<std::int64_t>(subscription.waitMs, 0)),
+                                        .loopDelay = std::chrono::microseconds(std::max(subscription.loopDelay, 0))},
                             now);
         this->recordImpairments(peer, subscription, now);
     } else {
@@ -536,9 +572,8 @@
     reply.incarnation = static_cast<std::int64_t>(this->incarnation);
     reply.__set_revision(this->view == nullptr ? 0 : static_cast<std::int64_t>(this->view->revision));
     reply.__set_dataCentre(this->settings.dataCentre);
-    const bool wantsView = !subscription.__isset.wantsView || subscription.wantsView;
-    if (wantsView && this->view != nullptr && this->view->revision > static_cast<std::uint64_t>(subscription.revision)) {
-        reply.__set_view(encodeControlView(*this->view));
+    if (this->hasNewerView(subscription)) {
+        this->addView(subscription, reply);
     }
     const bool sameIncarnation = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
     const std::uint64_t knownThrough = sameIncarnation ? static_cast<std::uint64_t>(subscription.registryThrough) : 0;
@@ -552,6 +587,10 @@
         reply.controls.push_back(member.instance);
     }
     reply.liveFronts = static_cast<std::int32_t>(this->fronts.liveCount(now));
+    if (const std::optional<std::size_t> entries = this->fronts.entryCount(now)) {
+        reply.__set_entryFronts(static_cast<std::int32_t>(*entries));
+    }
+    reply.__set_entry(this->fronts.isEntry(subscription.instance));
     reply.leader = this->logStatus.leaderInstance;
     if (const Incarnation known = this->fronts.newestIncarnation(subscription.instance);
         known > static_cast<Incarnation>(subscription.incarnation)) {
@@ -559,7 +598,8 @@
     }
     const std::vector<std::string> &impaired = this->impairedServers.list(now);
     reply.impairedVersion = this->impairedServers.version();
-    if (subscription.front && (!sameIncarnation || reply.impairedVersion != subscription.impairedVersion)) {
+    const bool usesList = subscription.front && (!subscription.__isset.wantsView || subscription.wantsView);
+    if (usesList && (!sameIncarnation || reply.impairedVersion != subscription.impairedVersion)) {
         reply.__set_impaired(impaired);
     }
     return reply;
@@ -587,17 +627,16 @@
     const auto run = static_cast<Incarnation>(reply.incarnation);
     this->registry.renewOrigin(control, run, now);
     if (reply.__isset.registry) {
-        const Result<RegistryUpdate> update = fromMessage(reply.registry, control, run);
-        if (update) {
-            this->registry.applyUpdate(update.value(), now);
-            this->hintOutdated = true;
-            for (const RegistryChange &change : update.value().changes) {
-                if (change.record.state == BackendState::Stopped) {
-                    this->retiredServers.add(change.record.identity, change.record.incarnation, now);
-                }
+        const RegistryUpdate update = fromMessage(reply.registry, control, run);
+        if (const std::optional<std::string> defects = describeDefects(update)) {
+            logger.warn(*defects);
+        }
+        this->registry.applyUpdate(update, now);
+        this->hintOutdated = true;
+        for (const RegistryChange &change : update.changes) {
+            if (change.record.state == BackendState::Stopped) {
+                this->retiredServers.add(change.record.identity, change.record.incarnation, now);
             }
-        } else {
-            logger.warn("a registry update of " + control + " can't be read: " + update.error().message());
         }
     }
     // Only the leader's list is certain to be up to date.
@@ -755,6 +794,14 @@
 
 // ---- Backend servers and callers
 
+void ControlMember::noteInvalidAnnouncement(const std::string &identity, const Error &error)
+{
+    constexpr std::size_t loggedBytes = 80;
+    this->metrics->count(CounterName::InvalidAnnouncements);
+    this->events->write(EventKind::State,
+                        Event("announcement_refused").text("identity", identity.substr(0, loggedBytes)).text("reason", error.message()));
+}
+
 Status ControlMember::announce(const BackendRecord &record)
 {
     this->metrics->count(CounterName::Announcements);
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -6,6 +6,7 @@
 #include "galenawell/control/frontdirectory.h"
 #include "galenawell/control/recoveryfile.h"
 #include "galenawell/control/replicatedlog.h"
+#include "galenawell/control/viewpatch.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/registry/impairedservers.h"
@@ -56,6 +57,8 @@
     // The newest accepted configuration, confirmed by a majority of the log after the call.
     Asio::awaitable<Result<std::shared_ptr<const ControlView>>> newestView();
 
+    // Counts and logs an announcement that can't be read.
+    void noteInvalidAnnouncement(const std::string &identity, const Error &error);
     // Registers a backend server that announced itself to this process. Fails for an outdated announcement.
     Status announce(const BackendRecord &record);
     // Marks a server that is about to shut down as stopped, so that it gets no more requests.
@@ -85,6 +88,8 @@
     Wire::Subscription subscriptionFor(const InstanceName &control);
     void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt);
     bool hasUpdates(const Wire::Subscription &subscription) const;
+    bool hasNewerView(const Wire::Subscription &subscription) const;
+    void addView(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply);
     void recordImpairments(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     Wire::SubscriptionReply makeReply(const Wire::Subscription &subscription);
 
@@ -94,6 +99,7 @@
     // Restores the view and the backend servers that an earlier run of this process saved.
     void loadRecoveryHint();
     void saveRecoveryHint(TimePoint now);
+    void updateEntries(TimePoint now);
     void logImpairedServers(TimePoint now);
     // Requests to be added as a learner while this process isn't a member of the log.
     Asio::awaitable<void> joinLoop();
@@ -127,6 +133,7 @@
     const TimePoint createdAt;
     // Newest view that is known to be committed; null before the first. Its revision never decreases.
     View view;
+    ViewPatches viewPatches;
     LogStatus logStatus;
     // Identities of the log's members as last received from the leader.
     std::vector<MemberId> listedMembers;
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -23,6 +23,11 @@
 // record expires because of lost contact.
 constexpr std::chrono::milliseconds controlContactTimeout{1300};
 constexpr std::chrono::milliseconds frontCountStability{2000};
+// How long control processes may delay their replies. Fronts that carry no traffic report less often.
+constexpr std::chrono::milliseconds entryPollWait{500};
+constexpr std::chrono::milliseconds standbyPollWait{1000};
+// A new sample has the weight 1/8 in the moving average of the event loop's delay.
+constexpr int loopDelayDivisor = 8;
 // A newer view that viewSource doesn't send within this time is requested from every control process.
 constexpr std::chrono::milliseconds viewTimeout{250};
 // Reserved within objectives and deadlines for encoding and sending the answer.
@@ -40,7 +45,7 @@
 // Servers stall occasionally, so only subrequests far above the usual latency are hedged.
 constexpr HedgeOptions hedgeOptions{.enabled = true,
                                     .budgetPercent = 0,
-                                    .quantile = 0.96,
+                                    .quantile = 0.90,
                                     .minimumDelay = std::chrono::milliseconds(5),
                                     .minimumSamples = 100};
 // Without a latency estimate, a hedge is sent after this fraction of the latency objective; the rest is left for its reply.
@@ -67,10 +72,11 @@
     , tables(RouteTableOptions{.location = {.instance = this->settings.instance, .dataCentre = this->settings.dataCentre},
                                .hedge = hedgeOptions,
                                .extraLoadPercent = this->settings.extraLoadPercent,
-                               .extraLoadSlack = this->settings.extraLoadSlack})
+                               .extraLoadSlack = this->settings.extraLoadSlack,
+                               .extraLoadWindow = this->settings.extraLoadWindow})
     , configuration(std::make_shared<RouteConfiguration>())
     , table(std::make_shared<RoutingTable>())
-    , liveFronts(frontCountStability)
+    , sharingFronts(frontCountStability)
     , nextSeed(std::random_device{}())
 {
 }
@@ -325,6 +331,8 @@
     subscription.__set_failures(impairments.failures);
     subscription.__set_scatters(
         static_cast<std::int32_t>(this->scatterCount - std::exchange(peer.reportedScatterCount, this->scatterCount)));
+    subscription.__set_loopDelay(static_cast<std::int32_t>(this->loopDelay.count()));
+    subscription.__set_acceptsPatch(!this->needsWholeView);
     subscription.__set_wantsView(this->wantsViewFrom(control, now));
     return subscription;
 }
@@ -348,9 +356,8 @@
     const InstanceName chosen = nearest == responding.end() ? InstanceName() : *nearest;
     if (chosen != this->viewSource) {
         this->viewSource = chosen;
-        if (!chosen.empty()) {
-            this->tables.setImpaired(this->controls[chosen].impaired);
-        }
+        // Only the source sends the list of impaired servers, so the last one known of the new source is out of date.
+        this->controls[chosen].impairedVersion = 0;
     }
 }
 
@@ -358,12 +365,15 @@
 {
     ControlPeer &peer = this->controls[control];
     peer.dataCentre = reply.dataCentre;
-    peer.impairedVersion = reply.impairedVersion;
-    if (reply.__isset.impaired) {
-        peer.impaired = reply.impaired;
-        if (control == this->viewSource) {
-            this->tables.setImpaired(peer.impaired);
-        }
+    peer.liveFronts = static_cast<std::size_t>(std::max(1, reply.liveFronts));
+    peer.entryFronts.reset();
+    if (reply.__isset.entryFronts) {
+        peer.entryFronts = static_cast<std::size_t>(std::max(1, reply.entryFronts));
+    }
+    peer.listsThisFront = !reply.__isset.entry || reply.entry;
+    if (reply.__isset.impaired && control == this->viewSource) {
+        peer.impairedVersion = reply.impairedVersion;
+        this->tables.setImpaired(reply.impaired);
     }
     if (static_cast<std::uint64_t>(reply.revision) > this->newestKnownRevision) {
         this->newestKnownRevision = static_cast<std::uint64_t>(reply.revision);
@@ -386,31 +396,73 @@
     const auto controlIncarnation = static_cast<Incarnation>(reply.incarnation);
     this->registry.renewOrigin(control, controlIncarnation, now);
     if (reply.__isset.registry) {
-        const Result<RegistryUpdate> update = fromMessage(reply.registry, control, controlIncarnation);
-        if (update) {
-            this->registry.applyUpdate(update.value(), now);
-            this->rebuildNeeded = true;
-        } else {
-            logger.warn("a registry update from " + control + " cannot be decoded: " + update.error().message());
+        const RegistryUpdate update = fromMessage(reply.registry, control, controlIncarnation);
+        if (const std::optional<std::string> defects = describeDefects(update)) {
+            logger.warn(*defects);
         }
+        this->registry.applyUpdate(update, now);
+        this->rebuildNeeded = true;
     }
     this->updateControlPeer(control, reply, now);
-    const std::size_t stableCount = this->liveFronts.update(static_cast<std::size_t>(std::max(1, reply.liveFronts)), now);
+    this->updateFrontCount(now);
+    this->installEncoded(control, reply);
+    if (this->rebuildNeeded && (this->configurationChanged || now - this->rebuiltAt >= tickInterval)) {
+        this->rebuild();
+    }
+}
+
+// Uses the highest count of all control processes in contact, because a higher one makes the shares smaller. A front that
+// callers aren't given has few requests and takes the share that it would have if all fronts carried traffic.
+void RoutedFront::updateFrontCount(TimePoint now)
+{
+    std::size_t live = 1;
+    std::optional<std::size_t> entries;
+    bool listed = false;
+    for (const InstanceName &name : this->subscriptions->respondedWithin(controlContactTimeout, now)) {
+        const ControlPeer &peer = this->controls[name];
+        live = std::max(live, peer.liveFronts);
+        if (peer.entryFronts) {
+            entries = std::max(entries.value_or(1), *peer.entryFronts);
+        }
+        listed = listed || peer.listsThisFront;
+    }
+    this->subscriptions->setLongPollWait(listed ? entryPollWait : standbyPollWait);
+    this->metrics->set(GaugeName::LiveFronts, static_cast<double>(live));
+    this->entryCountKnown = this->entryCountKnown || entries;
+    if (!entries && this->entryCountKnown) {
+        // All control processes in contact have just started; the count they knew before still holds.
+        return;
+    }
+    const std::size_t stableCount = this->sharingFronts.update(listed ? entries.value_or(live) : live, now);
     if (stableCount != this->frontCount) {
         this->frontCount = stableCount;
-        this->metrics->set(GaugeName::LiveFronts, static_cast<double>(stableCount));
+        this->metrics->set(GaugeName::SharingFronts, static_cast<double>(stableCount));
+        this->events->write(EventKind::State,
+                            Event("limits_divided")
+                                .number("fronts", static_cast<std::int64_t>(stableCount))
+                                .number("live", static_cast<std::int64_t>(live))
+                                .milliseconds("loop_delay", this->loopDelay));
         this->rebuildNeeded = true;
     }
-    if (reply.__isset.view) {
-        const Result<ControlView> view = decodeControlView(reply.view);
-        if (view) {
-            this->install(view.value());
-        } else {
-            logger.error("a control view from " + control + " cannot be decoded: " + view.error().message());
-        }
+}
+
+void RoutedFront::installEncoded(const InstanceName &control, const Wire::SubscriptionReply &reply)
+{
+    if (!reply.__isset.view && !reply.__isset.viewPatch) {
+        return;
     }
-    if (this->rebuildNeeded && (this->configurationChanged || now - this->rebuiltAt >= tickInterval)) {
-        this->rebuild();
+    Result<std::string> encoded = reply.__isset.view ? Result<std::string>(reply.view) : this->viewBase.apply(reply.viewPatch);
+    const Result<ControlView> view = encoded ? decodeControlView(encoded.value()) : Result<ControlView>(encoded.error());
+    this->needsWholeView = !view;
+    if (!view) {
+        logger.error("a control view from " + control + " cannot be decoded: " + view.error().message());
+        return;
+    }
+    if (view.value().revision > this->viewBase.revision()) {
+        this->install(view.value());
+    }
+    if (view.value().revision == this->revision) {
+        this->viewBase.install(this->revision, std::move(encoded.value()));
     }
 }
 
@@ -471,8 +523,10 @@
 Asio::awaitable<void> RoutedFront::tickLoop()
 {
     while (!this->stopping) {
+        const TimePoint due = MonotonicClock::now() + tickInterval;
         co_await this->pause(tickInterval);
         const TimePoint now = MonotonicClock::now();
+        this->loopDelay += (std::chrono::duration_cast<std::chrono::microseconds>(now - due) - this->loopDelay) / loopDelayDivisor;
         if (now >= this->closeIdleAt) {
             this->closeIdleAt = now + closeIdleInterval;
             this->client.closeIdle(now);
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -4,6 +4,7 @@
 
 #include "galenawell/configuration/routeconfiguration.h"
 #include "galenawell/control/controlstate.h"
+#include "galenawell/control/viewpatch.h"
 #include "galenawell/front/requestcodec.h"
 #include "galenawell/front/routedrun.h"
 #include "galenawell/front/routetables.h"
@@ -57,7 +58,9 @@
     void updateControlPeer(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now);
     void chooseViewSource(TimePoint now);
     bool wantsViewFrom(const InstanceName &control, TimePoint now) const;
+    void installEncoded(const InstanceName &control, const Wire::SubscriptionReply &reply);
     void install(const ControlView &view);
+    void updateFrontCount(TimePoint now);
     void rebuild();
     Asio::awaitable<void> tickLoop();
     Asio::awaitable<void> pause(std::chrono::milliseconds duration);
@@ -81,11 +84,19 @@
     std::shared_ptr<const RoutingTable> table;
     // Revision of the installed view; only increases.
     std::uint64_t revision = 0;
-    LiveFrontCount liveFronts;
+    LiveFrontCount sharingFronts;
     TimePoint closeIdleAt;
     // Number of scatter-gather requests; each sends one initial subrequest to every group.
     std::uint64_t scatterCount = 0;
+    // Fronts that limits and budgets are divided among.
     std::size_t frontCount = 1;
+    bool entryCountKnown = false;
+    // Moving average of the time for which the tick is late, hence of the wait for the processor.
+    std::chrono::microseconds loopDelay{0};
+    // The installed view, encoded.
+    ViewBase viewBase;
+    // Set after a patch that couldn't be applied, until a whole view arrives.
+    bool needsWholeView = false;
     // Start of the current period with replies from control processes; unset after a gap of controlContactTimeout.
     TimePoint controlContactSince;
     std::map<std::string, std::vector<double>> currentWeights;
@@ -98,8 +109,12 @@
         // Totals last reported to it.
         ReportedImpairments reported;
         std::uint64_t reportedScatterCount = 0;
+        // Version of the list of impaired servers that it sent last; 0 for none.
         std::int64_t impairedVersion = 0;
-        std::vector<std::string> impaired;
+        std::size_t liveFronts = 1;
+        std::optional<std::size_t> entryFronts;
+        // Whether it gives callers the address of this front.
+        bool listsThisFront = true;
     };
 
     std::map<InstanceName, ControlPeer> controls;
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -11,8 +11,10 @@
 
 // Share of the budget that is used, because clocks and the number of live fronts differ slightly between fronts.
 constexpr double budgetShare = 0.95;
-// Share of the fixed number of tokens that is used, because fronts start and stop within a window.
-constexpr double slackShare = 0.75;
+// Parts of the fixed number of tokens in a window: held in the buckets at its start, and refilled during it. The rest covers
+// fronts that start, stop, or begin to carry traffic within the window.
+constexpr double capacityShare = 0.4;
+constexpr double refillShare = 0.4;
 
 // Share of its capacity that a budget starts with, so that all fronts may restart within one window.
 constexpr double initialTokenShare = 0.3;
@@ -195,11 +197,14 @@
             this->addTable(*table, tableName(route.groups), route.groups, replicas);
         }
     }
-    const double tokenCapacity = std::max(1.0, this->options.extraLoadSlack * slackShare / static_cast<double>(fronts));
+    const double slack = this->options.extraLoadSlack / static_cast<double>(fronts);
+    const std::chrono::duration<double> window = this->options.extraLoadWindow;
+    const ExtraLoadAllowance allowance{.capacity = std::max(1.0, slack * capacityShare),
+                                       .refillPerSecond = slack * refillShare / window.count()};
     for (const auto &[name, servicePolicies] : this->policies) {
-        servicePolicies->retries.setCapacity(tokenCapacity);
+        servicePolicies->retries.setAllowance(allowance);
         if (this->grantedServices.insert(name).second) {
-            servicePolicies->retries.grant(tokenCapacity * initialTokenShare);
+            servicePolicies->retries.grant(allowance.capacity * initialTokenShare, now);
         }
     }
     return table;
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -23,6 +23,7 @@
     // Of all fronts together; divided among them.
     double extraLoadPercent = 20.0;
     double extraLoadSlack = 50.0;
+    std::chrono::milliseconds extraLoadWindow{10000};
 };
 
 // Impaired subrequests by the address of their server.
--- a/src/galenawell/membership/controlsubscriptions.cpp
+++ b/src/galenawell/membership/controlsubscriptions.cpp
@@ -142,6 +142,16 @@
     }
 }
 
+void ControlSubscriptions::setLongPollWait(std::chrono::milliseconds wait)
+{
+    this->options.longPollWait = wait;
+}
+
+std::chrono::milliseconds ControlSubscriptions::longPollWait() const
+{
+    return this->options.longPollWait;
+}
+
 void ControlSubscriptions::stop()
 {
     this->stopped = true;
--- a/src/galenawell/membership/controlsubscriptions.h
+++ b/src/galenawell/membership/controlsubscriptions.h
@@ -51,6 +51,9 @@
     // Sends the current subscription to every control process now, instead of with the next long poll.
     void sendUpdateToAll();
     void stop();
+    // How long a control process may delay its reply while nothing changes; from the next subscription on.
+    void setLongPollWait(std::chrono::milliseconds wait);
+    std::chrono::milliseconds longPollWait() const;
 
     std::shared_ptr<PeerLink> link(const InstanceName &control);
     std::vector<InstanceName> known() const;
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -65,7 +65,7 @@
 bool excludesReplica(RetryReason reason)
 {
     return reason == RetryReason::Draining || reason == RetryReason::WrongVersion || reason == RetryReason::InvalidReply
-        || reason == RetryReason::WrongServer;
+        || reason == RetryReason::ReplyTooLarge || reason == RetryReason::WrongServer;
 }
 
 // Transient refusals don't count against the group's attempts.
@@ -94,9 +94,9 @@
 {
 }
 
-bool ServicePolicies::spendForHedge()
+bool ServicePolicies::spendForHedge(TimePoint now)
 {
-    return this->sharedBudget ? this->hedge.enabled() && this->retries.spend() : this->hedge.trySpend();
+    return this->sharedBudget ? this->hedge.enabled() && this->retries.spend(now) : this->hedge.trySpend(now);
 }
 
 void ServicePolicies::copyStateFrom(const ServicePolicies &previous)
@@ -137,6 +137,12 @@
     return this->options.hedge ? *this->options.hedge : progress.policies->hedge;
 }
 
+std::chrono::microseconds Scatter::hedgeDelayOf(const GroupProgress &progress) const
+{
+    const HedgePolicy &policy = this->hedgePolicyOf(progress);
+    return progress.policies->sharedBudget ? policy.delay(progress.policies->retries) : policy.delay();
+}
+
 std::size_t Scatter::minimumGroups() const
 {
     if (this->options.minimumGroups) {
@@ -317,7 +323,7 @@
         return;
     }
     if (progress.retryReason) {
-        if (!this->spendForRetry(progress)) {
+        if (!this->spendForRetry(progress, now)) {
             replica->health->release(this->options.priority);
             this->retryLater(index, budgetPollInterval, now);
             return;
@@ -327,14 +333,14 @@
     this->send(index, *replica, false, now, actions);
 }
 
-bool Scatter::spendForRetry(GroupProgress &progress)
+bool Scatter::spendForRetry(GroupProgress &progress, TimePoint now)
 {
     if (progress.nextRetryIsFree) {
         progress.nextRetryIsFree = false;
         progress.freeRetryUsed = true;
         return true;
     }
-    return progress.policies->retries.spend();
+    return progress.policies->retries.spend(now);
 }
 
 void Scatter::waitForSlot(std::size_t index, TimePoint now)
@@ -374,7 +380,7 @@
     query.allowSlow = false;
     query.avoidDataCentre = progress.pending.front().replica->record.dataCentre;
     const Replica *replica = chooseReplica(*progress.replicas, this->service.options, query, this->random, now);
-    if (replica != nullptr && progress.policies->spendForHedge()) {
+    if (replica != nullptr && progress.policies->spendForHedge(now)) {
         progress.hedged = true;
         actions.retries.push_back(RetryReason::Hedge);
         this->send(index, *replica, true, now, actions);
@@ -401,7 +407,7 @@
 void Scatter::rescheduleHedge(std::size_t index, TimePoint now)
 {
     GroupProgress &progress = this->groups[index];
-    progress.hedgeAt = now + this->hedgePolicyOf(progress).delay();
+    progress.hedgeAt = now + this->hedgeDelayOf(progress);
     this->addTimer(index, progress.hedgeAt);
 }
 
@@ -427,8 +433,8 @@
         this->rescheduleHedge(index, now);
     }
     if (!isHedge && !progress.retryReason) {
-        progress.policies->hedge.earn();
-        progress.policies->retries.earn();
+        progress.policies->hedge.earn(now);
+        progress.policies->retries.earn(now);
         progress.policies->initialSends.recordSend(now);
     }
     actions.send.push_back({
@@ -460,7 +466,7 @@
 
 bool Scatter::isOutlier(const GroupProgress &progress, std::chrono::microseconds latency) const
 {
-    return this->options.idempotent && latency >= outlierFactor * this->hedgePolicyOf(progress).delay();
+    return this->options.idempotent && latency >= outlierFactor * this->hedgePolicyOf(progress).longDelay();
 }
 
 void Scatter::cancelPending(GroupProgress &progress, TimePoint now, ScatterActions &actions)
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -104,7 +104,7 @@
     void copyStateFrom(const ServicePolicies &previous);
 
     // Takes a hedge from the budget. False if there is none left.
-    bool spendForHedge();
+    bool spendForHedge(TimePoint now);
 
     HedgePolicy hedge;
     ExtraLoadBudget retries;
@@ -232,6 +232,8 @@
     bool meetsMinimum(const Coverage &coverage) const;
     bool hasExecutionsLeft(const GroupProgress &progress) const;
     HedgePolicy &hedgePolicyOf(const GroupProgress &progress) const;
+    // Hedges are sent earlier while the budget that they draw on is at least half full.
+    std::chrono::microseconds hedgeDelayOf(const GroupProgress &progress) const;
     std::size_t minimumGroups() const;
     bool prepare(TimePoint now, ScatterActions &actions);
     void addGroup(const PartitionGroup &group);
@@ -242,7 +244,7 @@
     void expirePending(std::size_t index, TimePoint now, ScatterActions &actions);
 
     void trySend(std::size_t index, TimePoint now, ScatterActions &actions);
-    bool spendForRetry(GroupProgress &progress);
+    bool spendForRetry(GroupProgress &progress, TimePoint now);
     void waitForSlot(std::size_t index, TimePoint now);
     void retryLater(std::size_t index, std::chrono::microseconds base, TimePoint now);
     void hedge(std::size_t index, TimePoint now, ScatterActions &actions);
--- a/src/galenawell/routing/hedgepolicy.cpp
+++ b/src/galenawell/routing/hedgepolicy.cpp
@@ -18,6 +18,13 @@
 // Samples between two computations of the quantiles, each of which reads the whole histogram.
 constexpr std::uint32_t refreshSamples = 64;
 
+// Longest time that one refill counts. A front without traffic must not collect tokens: those that carry the traffic share
+// the whole allowance.
+constexpr std::chrono::seconds maximumRefillTime{1};
+// A budget that wasn't used for this long loses its tokens, as its front may since have stopped counting as one that carries
+// traffic.
+constexpr std::chrono::seconds idleTime{5};
+
 // The buckets cover 64 us to about 67 s.
 constexpr double histogramMinimumMicroseconds = 64.0;
 constexpr double bucketsPerDoubling = 8.0;
@@ -34,6 +41,11 @@
     return std::min(index, bucketCount - 1);
 }
 
+std::int64_t toTicks(TimePoint point)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(point.time_since_epoch()).count();
+}
+
 std::int64_t upperBoundOf(std::size_t bucket)
 {
     const double doublings = (static_cast<double>(bucket) + 1.0) / bucketsPerDoubling;
@@ -63,8 +75,31 @@
     return this->earnedPerSubrequest.load(std::memory_order_relaxed) * capacityInSubrequests;
 }
 
-void ExtraLoadBudget::earn()
+void ExtraLoadBudget::refill(TimePoint now)
 {
+    const std::int64_t rate = this->milliRefillPerSecond.load(std::memory_order_relaxed);
+    if (rate == 0) {
+        return;
+    }
+    const std::int64_t nowTicks = toTicks(now);
+    std::int64_t previous = this->refilledAt.load(std::memory_order_relaxed);
+    const std::chrono::nanoseconds unused(nowTicks - previous);
+    const std::int64_t added = std::chrono::nanoseconds(std::min<std::chrono::nanoseconds>(unused, maximumRefillTime)).count() * rate
+        / std::chrono::nanoseconds(std::chrono::seconds(1)).count();
+    // Short times add up until they are worth a thousandth of a token. Of several concurrent callers only one refills.
+    if (added <= 0 || !this->refilledAt.compare_exchange_strong(previous, nowTicks, std::memory_order_relaxed)) {
+        return;
+    }
+    if (unused > idleTime) {
+        this->milliTokens.store(0, std::memory_order_relaxed);
+    }
+    this->milliTokens.fetch_add(added, std::memory_order_relaxed);
+    this->clampToCapacity();
+}
+
+void ExtraLoadBudget::earn(TimePoint now)
+{
+    this->refill(now);
     const std::int64_t limit = this->capacity();
     const std::int64_t earned = this->earnedPerSubrequest.load(std::memory_order_relaxed);
     std::int64_t held = this->milliTokens.load(std::memory_order_relaxed);
@@ -76,14 +111,16 @@
     }
 }
 
-void ExtraLoadBudget::grant(double tokens)
+void ExtraLoadBudget::grant(double tokens, TimePoint now)
 {
+    this->refilledAt.store(toTicks(now), std::memory_order_relaxed);
     this->milliTokens.fetch_add(std::llround(tokens * milliTokensPerToken), std::memory_order_relaxed);
     this->clampToCapacity();
 }
 
-bool ExtraLoadBudget::spend()
+bool ExtraLoadBudget::spend(TimePoint now)
 {
+    this->refill(now);
     std::int64_t held = this->milliTokens.load(std::memory_order_relaxed);
     while (held >= milliTokensPerToken) {
         if (this->milliTokens.compare_exchange_weak(held, held - milliTokensPerToken, std::memory_order_relaxed)) {
@@ -104,9 +141,10 @@
     return this->milliTokens.load(std::memory_order_relaxed) * 2 < this->capacity();
 }
 
-void ExtraLoadBudget::setCapacity(double tokens)
+void ExtraLoadBudget::setAllowance(const ExtraLoadAllowance &allowance)
 {
-    this->milliCapacity.store(std::llround(tokens * milliTokensPerToken), std::memory_order_relaxed);
+    this->milliCapacity.store(std::llround(allowance.capacity * milliTokensPerToken), std::memory_order_relaxed);
+    this->milliRefillPerSecond.store(std::llround(allowance.refillPerSecond * milliTokensPerToken), std::memory_order_relaxed);
     this->clampToCapacity();
 }
 
@@ -195,19 +233,32 @@
 
 std::chrono::microseconds HedgePolicy::delay() const
 {
-    const std::atomic<std::int64_t> &cached = this->budget.lessThanHalfFull() ? this->cachedLongDelay : this->cachedDelay;
-    const std::chrono::microseconds measured(cached.load(std::memory_order_relaxed));
+    return this->delay(this->budget);
+}
+
+std::chrono::microseconds HedgePolicy::delay(const ExtraLoadBudget &spentBudget) const
+{
+    if (spentBudget.lessThanHalfFull()) {
+        return this->longDelay();
+    }
+    const std::chrono::microseconds measured(this->cachedDelay.load(std::memory_order_relaxed));
+    return std::max<std::chrono::microseconds>(measured, this->options.minimumDelay);
+}
+
+std::chrono::microseconds HedgePolicy::longDelay() const
+{
+    const std::chrono::microseconds measured(this->cachedLongDelay.load(std::memory_order_relaxed));
     return std::max<std::chrono::microseconds>(measured, this->options.minimumDelay);
 }
 
-bool HedgePolicy::trySpend()
+bool HedgePolicy::trySpend(TimePoint now)
 {
-    return this->options.enabled && this->budget.spend();
+    return this->options.enabled && this->budget.spend(now);
 }
 
-void HedgePolicy::earn()
+void HedgePolicy::earn(TimePoint now)
 {
-    this->budget.earn();
+    this->budget.earn(now);
 }
 
 bool HedgePolicy::enabled() const
--- a/tests/differential/routing/test_routingdifferential.cpp
+++ b/tests/differential/routing/test_routingdifferential.cpp
@@ -287,7 +287,7 @@
     }
     cr_assert_lt(policy.delay().count(), 50'000);
     for (int spent = 0; spent < 26; ++spent) {
-        cr_assert(policy.trySpend());
+        cr_assert(policy.trySpend(start));
     }
     cr_assert_gt(policy.delay().count(), 75'000);
 }
@@ -318,10 +318,10 @@
         std::size_t expectedTokens = capacity;
         for (int step = 0; step < 2000; ++step) {
             if (random.below(4) != 0) {
-                budget.earn();
+                budget.earn(start);
                 expectedTokens = std::min(capacity, expectedTokens + percent * 10);
             } else {
-                RC_ASSERT(budget.spend() == (expectedTokens >= 1000));
+                RC_ASSERT(budget.spend(start) == (expectedTokens >= 1000));
                 expectedTokens -= expectedTokens >= 1000 ? 1000 : 0;
             }
         }
--- a/tests/unit/control/test_frontdirectory.cpp
+++ b/tests/unit/control/test_frontdirectory.cpp
@@ -1,5 +1,6 @@
 #include "galenawell/control/frontdirectory.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 
 using namespace Galenawell;
@@ -67,3 +68,118 @@
     directory.expire(start + 1min);
     cr_assert(directory.entryAddresses("a", start).empty());
 }
+
+namespace {
+
+// A control process and the fronts of two data centres.
+struct Fleet
+{
+    explicit Fleet(std::size_t fronts)
+    {
+        for (std::size_t index = 0; index < fronts; ++index) {
+            this->reports.push_back(front("a" + std::to_string(index), "a"));
+            this->reports.push_back(front("b" + std::to_string(index), "b"));
+        }
+    }
+
+    // All fronts report several times a second.
+    void run(FrontDirectory &directory, TimePoint from, Duration duration) const
+    {
+        for (TimePoint now = from; now < from + duration; now += 250ms) {
+            for (const FrontReport &report : this->reports) {
+                directory.report(report, now);
+            }
+            directory.updateEntries(now);
+        }
+    }
+
+    void setLoopDelay(std::chrono::microseconds delay)
+    {
+        for (FrontReport &report : this->reports) {
+            report.loopDelay = delay;
+        }
+    }
+
+    std::vector<FrontReport> reports;
+};
+
+} // namespace
+
+// Guards against requests spread over so many fronts that none of them learns the state of a server or keeps connections.
+Test(frontdirectory, callers_of_a_large_fleet_get_few_fronts_the_same_from_every_control_process)
+{
+    const Fleet fleet(40);
+    FrontDirectory first({.startedAt = start});
+    FrontDirectory second({.startedAt = start});
+    fleet.run(first, start, 12s);
+    fleet.run(second, start + 100ms, 12s);
+    const TimePoint now = start + 12s;
+    cr_assert_eq(first.entryAddresses("a", now).size(), 10);
+    cr_assert(first.entryAddresses("a", now) == second.entryAddresses("a", now));
+    cr_assert_eq(first.entryCount(now).value(), 20);
+    const auto entries = std::ranges::count_if(fleet.reports, [&](const FrontReport &report) { return first.isEntry(report.instance); });
+    cr_assert_eq(entries, 20);
+}
+
+// Guards against small installations that lose entries.
+Test(frontdirectory, all_fronts_of_a_small_data_centre_are_entries)
+{
+    const Fleet fleet(8);
+    FrontDirectory directory({.startedAt = start});
+    fleet.run(directory, start, 1s);
+    cr_assert_eq(directory.entryAddresses("a", start + 1s).size(), 8);
+}
+
+// Guards against callers that wait for the processors of a few fronts while most have nothing to do, and against a set that
+// swings with the load.
+Test(frontdirectory, the_entries_grow_while_they_are_busy_and_shrink_slowly)
+{
+    Fleet fleet(40);
+    FrontDirectory directory({.startedAt = start});
+    fleet.run(directory, start, 5s);
+    fleet.setLoopDelay(12ms);
+    fleet.run(directory, start + 5s, 1750ms);
+    cr_assert_eq(directory.entryAddresses("a", start + 6750ms).size(), 15);
+    fleet.run(directory, start + 6750ms, 10750ms);
+    cr_assert_eq(directory.entryAddresses("a", start + 17500ms).size(), 40);
+    fleet.setLoopDelay(0ms);
+    fleet.run(directory, start + 17500ms, 5s);
+    // A quarter of the surplus at a time.
+    cr_assert_eq(directory.entryAddresses("a", start + 22500ms).size(), 32);
+    fleet.run(directory, start + 22500ms, 5min);
+    cr_assert_eq(directory.entryAddresses("a", start + 322500ms).size(), 10);
+}
+
+// Guards against callers without a front after most fronts are killed at once, and against limits divided among too few
+// fronts while the set changes.
+Test(frontdirectory, standby_fronts_replace_entries_that_are_killed_or_drained)
+{
+    Fleet fleet(40);
+    FrontDirectory directory({.startedAt = start});
+    fleet.run(directory, start, 15s);
+    const TimePoint killed = start + 15s;
+    const std::vector<std::string> before = directory.entryAddresses("a", killed);
+    std::erase_if(fleet.reports,
+                  [&](const FrontReport &report) { return std::ranges::find(before, report.callerAddress) != before.end(); });
+    fleet.run(directory, killed, 1750ms);
+    const std::vector<std::string> after = directory.entryAddresses("a", killed + 1750ms);
+    cr_assert_geq(after.size(), 8);
+    cr_assert(std::ranges::none_of(after, [&](const std::string &address) { return std::ranges::find(before, address) != before.end(); }));
+    // The former entries may still have callers.
+    cr_assert_geq(directory.entryCount(killed + 1750ms).value(), 28);
+    std::ranges::find(fleet.reports, after.front(), &FrontReport::callerAddress)->accepting = false;
+    fleet.run(directory, killed + 1750ms, 250ms);
+    const std::vector<std::string> drained = directory.entryAddresses("a", killed + 2s);
+    cr_assert_eq(drained.size(), after.size());
+    cr_assert(std::ranges::find(drained, after.front()) == drained.end());
+}
+
+// Guards against limits divided among the few fronts that a restarted control process has heard of.
+Test(frontdirectory, the_number_of_entries_is_unknown_until_all_fronts_have_had_time_to_report)
+{
+    const Fleet fleet(40);
+    FrontDirectory directory({.startedAt = start});
+    fleet.run(directory, start, 9s);
+    cr_assert(!directory.entryCount(start + 9s).has_value());
+    cr_assert(directory.entryCount(start + 10s).has_value());
+}
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -39,7 +39,7 @@
         }
         // At 100 %, each call earns one token.
         for (int index = 0; index < 100; ++index) {
-            this->shared->retries.earn();
+            this->shared->retries.earn(start);
         }
     }
 
@@ -196,13 +196,13 @@
 Test(routedscatter, without_budget_nothing_is_retried)
 {
     RoutedService routed(1, 3, 1);
-    while (routed.shared->retries.spend()) {
+    while (routed.shared->retries.spend(start)) {
     }
     ScatterOptions options = routed.options(1);
     Scatter scatter = routed.scatter(options);
     const ScatterActions first = scatter.start(start);
     // Spends what the first subrequest earned.
-    while (routed.shared->retries.spend()) {
+    while (routed.shared->retries.spend(start)) {
     }
     const ScatterActions failed = scatter.onFailure(first.send.front().subrequestId, {.reason = RetryReason::Overloaded}, start + 1ms);
     cr_assert(failed.send.empty() && !failed.outcome.has_value());
