--- a/src/galenawell/transport/peerserver.cpp
+++ b/src/galenawell/transport/peerserver.cpp
@@ -9,7 +9,8 @@
 constexpr std::chrono::milliseconds handshakeTimeout{2000};
 // Peers send a heartbeat at least every second; a connection without any is closed.
 constexpr std::chrono::seconds idleTimeout{30};
-constexpr std::size_t maximumPeerConnections = 256;
+// Above the number of fronts that one control process can answer, and below its file descriptors.
+constexpr std::size_t maximumPeerConnections = 2048;
 
 } // namespace
 
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -338,3 +338,43 @@
     // All three confirm that there is no record of the server, so there is nothing to propagate.
     cr_assert(waitUntil([&] { return call(leave).status == 200; }));
 }
+
+// Guards against one odd announcement among good ones that ends a process or keeps it from following the others.
+Test(platform, odd_announcements_are_refused_and_change_nothing_else)
+{
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    TestServers servers(installation);
+    cr_assert(installation.putUntilAcknowledged(configuration(7, twoShards)));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    const std::string head = R"({"service":"s1","zone":"z1","version":"v1","slots":1,"state":"ready","warmup_remaining_ms":0,)";
+    const std::vector<std::string> bodies{
+        std::string(100'000, '['),
+        std::string(100'000, '[') + std::string(100'000, ']'),
+        head + R"("address":"10.0.0.1:0","sequence":1})",
+        head + R"("address":"10.0.0.1:65536","sequence":1})",
+        head + R"("address":"10.0.0.1:99999","sequence":1})",
+        head + R"("address":"10.0.0.1:80","sequence":18446744073709551616})",
+        head + R"("address":"10.0.0.1:80","sequence":1e999})",
+        head + R"("address":"10.0.0.1:80","sequence":-1})",
+        head + R"("address":"10.0.0.1:80","sequence":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}",
+        head + R"("address":")" + std::string(200'000, '9') + R"(","sequence":1})",
+    };
+    for (const std::string &control : installation.controlNames()) {
+        for (const std::string &body : bodies) {
+            const Reply reply
+                = call({.address = installation.controlAddress(control), .method = "PUT", .target = "/v1/instances/i-odd", .body = body});
+            cr_assert_eq(reply.status, 400);
+            cr_assert_lt(reply.body.size(), 1000);
+        }
+    }
+    cr_assert(!installation.hasUnexpectedExit());
+    cr_assert(allFrontsServe(installation));
+    // Changes after the odd announcements are still followed.
+    servers.archiveDrains = true;
+    cr_assert(waitUntil([&] {
+        return std::ranges::all_of(installation.frontNames(), [&](const std::string &front) {
+            return sendRequest(installation, front, "/one/x", "after").status == 503;
+        });
+    }));
+}
--- a/tests/unit/transport/test_peerchannel.cpp
+++ b/tests/unit/transport/test_peerchannel.cpp
@@ -241,3 +241,33 @@
     cr_assert(!second.error && second.reply.reply);
     cr_assert_eq(second.reply.correlation, server.get());
 }
+
+namespace {
+
+Asio::awaitable<Wire::Envelope> echo(InstanceName, Wire::Envelope request)
+{
+    co_return request;
+}
+
+} // namespace
+
+// Guards against fronts of a large fleet that no control process accepts because of the number of the others.
+Test(peer_server, hundreds_of_peers_are_served_at_once)
+{
+    constexpr std::size_t peers = 300;
+    IoThread ioThread;
+    Tcp::acceptor reserved(ioThread.context, anyPort());
+    const Tcp::endpoint address = reserved.local_endpoint();
+    reserved.close();
+    const auto server
+        = std::make_shared<PeerServer>(ioThread.context.get_executor(), address, serverIdentity, echo, std::make_shared<PeerTraffic>());
+    server->start();
+    std::vector<std::shared_ptr<PeerLink>> links;
+    for (std::size_t peer = 0; peer < peers; ++peer) {
+        links.push_back(std::make_shared<PeerLink>(
+            ioThread.context.get_executor(), address, clientIdentity, "server", std::make_shared<PeerTraffic>()));
+        const CallOutcome outcome = ioThread.start(callOnce(links.back(), 10s)).get();
+        cr_assert(!outcome.error, "peer %zu", peer);
+    }
+    server->stop();
+}
