List fronts that begin to accept between two updates of the entry set

Cause: the number of entries was capped by the fronts available at the last update, so after a start of all, callers got none or one front for up to 150 ms. Change: the number isn't capped by what is available; the directory takes what there is. Result: fronts_that_begin_to_accept_are_listed_before_the_next_update fails before and passes after.

--- a/src/galenawell/control/entrysetsize.cpp
+++ b/src/galenawell/control/entrysetsize.cpp
@@ -25,16 +25,17 @@
 
 std::size_t EntrySetSize::idleSize(std::size_t available) const
 {
-    return std::min(available, std::max(this->options.minimumSize, dividedRoundingUp(available, this->options.frontsPerEntry)));
+    return std::max(this->options.minimumSize, dividedRoundingUp(available, this->options.frontsPerEntry));
 }
 
 std::size_t EntrySetSize::update(std::size_t available, std::chrono::microseconds delay, TimePoint now)
 {
     const std::size_t idle = this->idleSize(available);
-    this->surplus = std::min(this->surplus, available - idle);
+    const std::size_t maximumSurplus = available - std::min(available, idle);
+    this->surplus = std::min(this->surplus, maximumSurplus);
     const std::size_t size = idle + this->surplus;
     if (delay > this->options.busyDelay && size < available && now - this->changedAt >= this->options.growthInterval) {
-        this->surplus = std::min(available - idle, this->surplus + dividedRoundingUp(size, this->options.growthDivisor));
+        this->surplus = std::min(maximumSurplus, this->surplus + dividedRoundingUp(size, this->options.growthDivisor));
         this->changedAt = now;
     } else if (delay * shrinkDelayDivisor<this->options.busyDelay &&this->surplus> 0
                && now - this->changedAt >= this->options.shrinkInterval) {
--- a/src/galenawell/control/entrysetsize.h
+++ b/src/galenawell/control/entrysetsize.h
@@ -30,7 +30,8 @@
 public:
     explicit EntrySetSize(EntrySetSizeOptions options);
 
-    // `available` fronts can carry traffic; `delay` is the mean event loop delay of those that do.
+    // `available` fronts can carry traffic; `delay` is the mean event loop delay of those that do. The result may exceed
+    // `available`, so that fronts that become available before the next update are used.
     std::size_t update(std::size_t available, std::chrono::microseconds delay, TimePoint now);
 
 private:
--- a/tests/unit/control/test_frontdirectory.cpp
+++ b/tests/unit/control/test_frontdirectory.cpp
@@ -130,6 +130,18 @@
     cr_assert_eq(directory.entryAddresses("a", start + 1s).size(), 8);
 }
 
+// Guards against callers without a front after all have started, because the last update saw none of them accepting.
+Test(frontdirectory, fronts_that_begin_to_accept_are_listed_before_the_next_update)
+{
+    FrontDirectory directory({.startedAt = start});
+    directory.report(front("a1", "a", false), start);
+    directory.report(front("b1", "b", false), start);
+    directory.updateEntries(start);
+    directory.report(front("a1", "a"), start + 10ms);
+    directory.report(front("b1", "b"), start + 10ms);
+    cr_assert_eq(directory.entryAddresses("a", start + 10ms).size(), 2);
+}
+
 // Guards against callers that wait for the processors of a few fronts while most have nothing to do, and against a set that
 // swings with the load.
 Test(frontdirectory, the_entries_grow_while_they_are_busy_and_shrink_slowly)
