Satisfy the linter in the reply limit

Cause: clang-tidy reports a widening multiplication in a header that four sources include. Change: the multiplication is made in std::size_t.

--- a/src/galenawell/transport/replymemory.h
+++ b/src/galenawell/transport/replymemory.h
@@ -35,7 +35,7 @@
     // so that large ones can't crowd them out.
     bool grow(std::size_t bytes);
 
-    static constexpr std::size_t smallReplyBytes = 32 * 1024;
+    static constexpr std::size_t smallReplyBytes = std::size_t(32) * 1024;
 
 private:
     std::shared_ptr<ReplyMemory> memory;
