Name the condition for shrinking the entry set

Cause: the formatter read the comparison as a template and broke its layout. Change: the condition has a name; behaviour is the same.

--- a/src/galenawell/control/entrysetsize.cpp
+++ b/src/galenawell/control/entrysetsize.cpp
@@ -34,11 +34,11 @@
     const std::size_t maximumSurplus = available - std::min(available, idle);
     this->surplus = std::min(this->surplus, maximumSurplus);
     const std::size_t size = idle + this->surplus;
+    const bool calm = delay * shrinkDelayDivisor < this->options.busyDelay;
     if (delay > this->options.busyDelay && size < available && now - this->changedAt >= this->options.growthInterval) {
         this->surplus = std::min(maximumSurplus, this->surplus + dividedRoundingUp(size, this->options.growthDivisor));
         this->changedAt = now;
-    } else if (delay * shrinkDelayDivisor<this->options.busyDelay &&this->surplus> 0
-               && now - this->changedAt >= this->options.shrinkInterval) {
+    } else if (calm && this->surplus > 0 && now - this->changedAt >= this->options.shrinkInterval) {
         this->surplus -= dividedRoundingUp(this->surplus, shrinkDivisor);
         this->changedAt = now;
     }
