Log the acknowledgement and application of configurations

The hypotheses of the incident can't be told apart in the logs: a control process logs that it applied a configuration, but neither who answered the operator, when, and with which state, nor where the log stood.

Adds lines configuration_proposed and configuration_applied with number, revision, commit index and leader, and the metrics that the changes of the incident use: the delay of views at fronts, late, rejected and requested views, storage that is unavailable or was opened again, and what backend servers say of themselves.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -280,7 +280,12 @@
             this->subscriptions->add(member.instance);
         }
         if (newer) {
-            logger.info("configuration " + std::to_string(this->view->configurationNumber) + " is applied");
+            this->events->write(EventKind::State,
+                                Event("configuration_applied")
+                                    .number("configuration", static_cast<std::int64_t>(this->view->configurationNumber))
+                                    .number("revision", static_cast<std::int64_t>(this->view->revision))
+                                    .number("commit_index", static_cast<std::int64_t>(this->logStatus.commitIndex))
+                                    .flag("leader", this->isLeader()));
         }
         if (newer || registryChanged) {
             this->hintOutdated = true;
@@ -703,8 +708,26 @@
 
 Asio::awaitable<Result<ProposalOutcome>> ControlMember::propose(ConfigurationProposal proposal)
 {
-    const TimePoint end = MonotonicClock::now() + operatorTimeout;
-    const std::string command = encodeControlCommand(ProposeConfiguration{.proposal = std::move(proposal)});
+    const TimePoint start = MonotonicClock::now();
+    const std::uint64_t number = proposal.number;
+    std::string command = encodeControlCommand(ProposeConfiguration{.proposal = std::move(proposal)});
+    const Result<ProposalOutcome> outcome = co_await this->proposeUntil(std::move(command), start + operatorTimeout);
+    Event event("configuration_proposed");
+    event.number("configuration", static_cast<std::int64_t>(number)).flag("acknowledged", outcome.has_value());
+    if (outcome) {
+        event.number("newest", static_cast<std::int64_t>(outcome.value().newestNumber));
+    } else {
+        event.text("reason", outcome.error().message());
+    }
+    event.text("leader", this->logStatus.leaderInstance)
+        .number("applied_here", static_cast<std::int64_t>(this->view == nullptr ? 0 : this->view->revision))
+        .milliseconds("after", MonotonicClock::now() - start);
+    this->events->write(EventKind::State, event);
+    co_return outcome;
+}
+
+Asio::awaitable<Result<ProposalOutcome>> ControlMember::proposeUntil(std::string command, TimePoint end)
+{
     for (;;) {
         Result<ProposalOutcome> outcome = makeError(ErrorKind::NotLeader, "this process hasn't joined the log");
         if (this->started) {
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -93,6 +93,7 @@
     void recordImpairments(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     Wire::SubscriptionReply makeReply(const Wire::Subscription &subscription);
 
+    Asio::awaitable<Result<ProposalOutcome>> proposeUntil(std::string command, TimePoint end);
     Asio::awaitable<Result<ProposalOutcome>> proposeOnce(std::string command);
     Asio::awaitable<Result<View>> readOnce();
     Asio::awaitable<void> refreshLoop();
--- a/src/galenawell/telemetry/metrics.cpp
+++ b/src/galenawell/telemetry/metrics.cpp
@@ -26,6 +26,12 @@
     {"galenawell_claims_sent_total", "Claims sent to the control leader"},
     {"galenawell_crash_evidence_total", "Connections to backend servers that ended while a request ran"},
     {"galenawell_views_applied_total", "Control views put into force"},
+    {"galenawell_views_rejected_total", "Control views or patches that couldn't be read"},
+    {"galenawell_late_view_requests_total", "Control views requested from another control process because the source was late"},
+    {"galenawell_storage_reopened_total", "Times the log's storage was opened again after a failed write or sync"},
+    {"galenawell_leaving_replies_total", "Replies in which a backend server says that it leaves"},
+    {"galenawell_server_pauses_total", "Refusals in which a backend server asks for a pause"},
+    {"galenawell_invalid_pauses_total", "Refusals whose pause can't be used or is cut to the longest one"},
     {"galenawell_peer_messages_total", "Messages sent to other galenawell processes"},
     {"galenawell_peer_bytes_total", "Bytes sent to other galenawell processes"},
 }};
@@ -42,9 +48,11 @@
     {"galenawell_is_leader", "1 on the control leader"},
     {"galenawell_commit_index", "Newest committed log index"},
     {"galenawell_log_bytes", "Bytes of the control log and snapshot on disk"},
+    {"galenawell_storage_available", "1 while the log's storage takes writes"},
     {"galenawell_claims", "Claims in the ledger"},
 }};
 
+const prometheus::Histogram::BucketBoundaries viewDelayBuckets{0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 3, 4, 5, 8};
 const prometheus::Histogram::BucketBoundaries latencyBuckets{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
 } // namespace
@@ -93,6 +101,12 @@
     for (std::size_t index = 0; index < priorityCount; ++index) {
         this->latencies.at(index) = &latencyFamily.Add({{"priority", std::string(toString(static_cast<Priority>(index)))}}, latencyBuckets);
     }
+    this->viewDelay = &prometheus::BuildHistogram()
+                           .Name("galenawell_view_delay_seconds")
+                           .Help("Time from the first report of a newer control view to its installation")
+                           .Labels(commonLabels)
+                           .Register(*this->registry)
+                           .Add({}, viewDelayBuckets);
 }
 
 void Metrics::countRefusal(RefusalReason reason)
@@ -126,6 +140,11 @@
     this->latencies.at(static_cast<std::size_t>(priority))->Observe(std::chrono::duration<double>(latency).count());
 }
 
+void Metrics::observeViewDelay(std::chrono::microseconds delay)
+{
+    this->viewDelay->Observe(std::chrono::duration<double>(delay).count());
+}
+
 std::string Metrics::serialise() const
 {
     return prometheus::TextSerializer().Serialize(this->registry->Collect());
--- a/src/galenawell/telemetry/metrics.h
+++ b/src/galenawell/telemetry/metrics.h
@@ -27,6 +27,12 @@
     ClaimsSent,
     CrashEvidence,
     ViewsApplied,
+    ViewsRejected,
+    LateViewRequests,
+    StorageReopened,
+    LeavingReplies,
+    ServerPauses,
+    InvalidPauses,
     PeerMessages,
     PeerBytes,
     Count,
@@ -43,6 +49,7 @@
     IsLeader,
     CommitIndex,
     LogBytes,
+    StorageAvailable,
     Claims,
     Count,
 };
@@ -59,6 +66,8 @@
     void raiseCounterTo(CounterName name, double total);
     void set(GaugeName name, double value);
     void observeLatency(Priority priority, std::chrono::microseconds latency);
+    // Time from the first report of a newer control view to its installation.
+    void observeViewDelay(std::chrono::microseconds delay);
 
     std::string serialise() const;
 
@@ -69,6 +78,7 @@
     std::array<prometheus::Counter *, static_cast<std::size_t>(CounterName::Count)> counters{};
     std::array<prometheus::Gauge *, static_cast<std::size_t>(GaugeName::Count)> gauges{};
     std::array<prometheus::Histogram *, priorityCount> latencies{};
+    prometheus::Histogram *viewDelay = nullptr;
 };
 
 } // namespace Galenawell
