Ask another control process when the source of views is behind

What callers saw: for seconds after a configuration was acknowledged, some fronts handled requests by an older one, or refused new paths (CONFIG, 'handled by version 3 or older; version 21 was acked more than 4000 ms before').

Cause: a front takes its views from one control process. The others tell it of a newer revision only at the end of their long poll, and only 250 ms later does it ask them. That time began anew with each newer revision, so a front whose source answers but is behind (cut off from the other control processes, or with a stalled or full disk) asked nobody while changes followed one another in less than 250 ms, for as long as they did. Class of fault: a time limit that new events of the same kind restart.

Change: ViewSources decides this apart from the runtime. It counts from the first revision that is missing. A second control process, the witness, answers at once when it has a newer revision, without sending the view. A late view is requested at once from a process that has it, and again from another one every 250 ms. A view that can't be decoded is requested whole at once. Why this works: the time until a front turns to another process is the poll of the witness, 250 ms and one round trip, whatever follows.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -224,6 +224,8 @@
     18: optional i32 loopDelay
     // True if the sender can decode viewPatch.
     19: optional bool acceptsPatch
+    // Set if the receiver shall reply at once when it has a revision above this one, also if the sender doesn't want the view.
+    20: optional i64 notifyAbove
 }
 
 struct SubscriptionReply {
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -526,7 +526,9 @@
 bool ControlMember::hasUpdates(const Wire::Subscription &subscription) const
 {
     const bool sameIncarnation = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
-    return this->hasNewerView(subscription) || !sameIncarnation
+    const bool notifies = subscription.__isset.notifyAbove && this->view != nullptr
+        && this->view->revision > static_cast<std::uint64_t>(subscription.notifyAbove);
+    return this->hasNewerView(subscription) || notifies || !sameIncarnation
         || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
 }
 
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -28,8 +28,6 @@
 constexpr std::chrono::milliseconds standbyPollWait{1000};
 // A new sample has the weight 1/8 in the moving average of the event loop's delay.
 constexpr int loopDelayDivisor = 8;
-// A newer view that viewSource doesn't send within this time is requested from every control process.
-constexpr std::chrono::milliseconds viewTimeout{250};
 // Reserved within objectives and deadlines for encoding and sending the answer.
 constexpr std::chrono::milliseconds answerReserve{15};
 // Retry-After of refusals for lack of a server or an in-flight slot: within this time, servers renew their announcements
@@ -333,34 +331,50 @@
         static_cast<std::int32_t>(this->scatterCount - std::exchange(peer.reportedScatterCount, this->scatterCount)));
     subscription.__set_loopDelay(static_cast<std::int32_t>(this->loopDelay.count()));
     subscription.__set_acceptsPatch(!this->needsWholeView);
-    subscription.__set_wantsView(this->wantsViewFrom(control, now));
+    subscription.__set_wantsView(this->viewSources.wantsView(control, now));
+    if (const std::optional<std::uint64_t> known = this->viewSources.notifyAbove(control)) {
+        subscription.__set_notifyAbove(static_cast<std::int64_t>(*known));
+    }
     return subscription;
 }
 
-// Views are large and the same in all control processes, so only one sends them while it keeps up with the others.
-bool RoutedFront::wantsViewFrom(const InstanceName &control, TimePoint now) const
-{
-    const bool lags = this->newestKnownRevision > this->revision && now - this->newestKnownSince > viewTimeout;
-    return this->revision == 0 || this->viewSource.empty() || control == this->viewSource || lags;
-}
-
 void RoutedFront::chooseViewSource(TimePoint now)
 {
-    const std::vector<InstanceName> responding = this->subscriptions->respondedWithin(controlContactTimeout, now);
+    std::vector<InstanceName> responding = this->subscriptions->respondedWithin(controlContactTimeout, now);
     const auto cost = [this](const InstanceName &name) {
         // The hash distributes fronts over equally near control processes.
         return std::pair(this->controls[name].dataCentre != this->settings.dataCentre,
                          std::hash<std::string>()(name + this->settings.instance));
     };
-    const auto nearest = std::ranges::min_element(responding, std::less<>(), cost);
-    const InstanceName chosen = nearest == responding.end() ? InstanceName() : *nearest;
-    if (chosen != this->viewSource) {
-        this->viewSource = chosen;
+    std::ranges::sort(responding, std::less<>(), cost);
+    std::vector<ViewCandidate> candidates;
+    candidates.reserve(responding.size());
+    for (const InstanceName &name : responding) {
+        candidates.push_back({.control = name, .dataCentre = this->controls[name].dataCentre});
+    }
+    if (this->viewSources.choose(candidates) && !candidates.empty()) {
         // Only the source sends the list of impaired servers, so the last one known of the new source is out of date.
-        this->controls[chosen].impairedVersion = 0;
+        this->controls[this->viewSources.source()].impairedVersion = 0;
     }
 }
 
+void RoutedFront::requestLateView(TimePoint now)
+{
+    const std::optional<InstanceName> control = this->viewSources.nextRequest(now);
+    if (!control) {
+        return;
+    }
+    this->metrics->count(CounterName::LateViewRequests);
+    this->events->write(EventKind::State,
+                        Event("view_requested")
+                            .text("control", *control)
+                            .text("late_source", this->viewSources.source())
+                            .number("revision", static_cast<std::int64_t>(this->revision))
+                            .number("newest_known", static_cast<std::int64_t>(this->viewSources.newestKnown()))
+                            .milliseconds("behind", this->viewSources.behindFor(now).value_or(Duration(0))));
+    this->subscriptions->sendUpdate(*control);
+}
+
 void RoutedFront::updateControlPeer(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now)
 {
     ControlPeer &peer = this->controls[control];
@@ -371,14 +385,11 @@
         peer.entryFronts = static_cast<std::size_t>(std::max(1, reply.entryFronts));
     }
     peer.listsThisFront = !reply.__isset.entry || reply.entry;
-    if (reply.__isset.impaired && control == this->viewSource) {
+    if (reply.__isset.impaired && control == this->viewSources.source()) {
         peer.impairedVersion = reply.impairedVersion;
         this->tables.setImpaired(reply.impaired);
     }
-    if (static_cast<std::uint64_t>(reply.revision) > this->newestKnownRevision) {
-        this->newestKnownRevision = static_cast<std::uint64_t>(reply.revision);
-        this->newestKnownSince = now;
-    }
+    this->viewSources.onReport(control, static_cast<std::uint64_t>(reply.revision), now);
     this->chooseViewSource(now);
 }
 
@@ -406,6 +417,7 @@
     this->updateControlPeer(control, reply, now);
     this->updateFrontCount(now);
     this->installEncoded(control, reply);
+    this->requestLateView(now);
     if (this->rebuildNeeded && (this->configurationChanged || now - this->rebuiltAt >= tickInterval)) {
         this->rebuild();
     }
@@ -451,22 +463,30 @@
     if (!reply.__isset.view && !reply.__isset.viewPatch) {
         return;
     }
+    if (static_cast<std::uint64_t>(reply.revision) <= this->revision) {
+        // Another reply brought this view first; a patch would need the view before it.
+        return;
+    }
     Result<std::string> encoded = reply.__isset.view ? Result<std::string>(reply.view) : this->viewBase.apply(reply.viewPatch);
     const Result<ControlView> view = encoded ? decodeControlView(encoded.value()) : Result<ControlView>(encoded.error());
-    this->needsWholeView = !view;
+    const bool neededWholeView = std::exchange(this->needsWholeView, !view);
     if (!view) {
+        this->metrics->count(CounterName::ViewsRejected);
         logger.error("a control view from " + control + " cannot be decoded: " + view.error().message());
+        if (!neededWholeView) {
+            this->subscriptions->sendUpdate(control);
+        }
         return;
     }
     if (view.value().revision > this->viewBase.revision()) {
-        this->install(view.value());
+        this->install(view.value(), control);
     }
     if (view.value().revision == this->revision) {
         this->viewBase.install(this->revision, std::move(encoded.value()));
     }
 }
 
-void RoutedFront::install(const ControlView &view)
+void RoutedFront::install(const ControlView &view, const InstanceName &control)
 {
     if (view.revision <= this->revision || view.configurationNumber == 0) {
         return;
@@ -491,6 +511,9 @@
                                              .idleTimeout = this->configuration->limits().idleTimeout});
     this->rebuildNeeded = true;
     this->configurationChanged = true;
+    const Duration delay = this->viewSources.behindFor(MonotonicClock::now()).value_or(Duration(0));
+    this->viewSources.onInstalled(this->revision);
+    this->metrics->observeViewDelay(std::chrono::duration_cast<std::chrono::microseconds>(delay));
     this->metrics->count(CounterName::ViewsApplied);
     this->metrics->set(GaugeName::Revision, static_cast<double>(view.revision));
     this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(view.configurationNumber));
@@ -498,7 +521,10 @@
                         Event("configuration_in_force")
                             .number("configuration", static_cast<std::int64_t>(view.configurationNumber))
                             .number("revision", static_cast<std::int64_t>(view.revision))
-                            .number("routes", static_cast<std::int64_t>(this->configuration->routes().size())));
+                            .number("routes", static_cast<std::int64_t>(this->configuration->routes().size()))
+                            .text("control", control)
+                            .text("source", this->viewSources.source())
+                            .milliseconds("known_for", delay));
     if (first && this->ready()) {
         this->subscriptions->sendUpdateToAll();
     }
@@ -531,6 +557,7 @@
             this->closeIdleAt = now + closeIdleInterval;
             this->client.closeIdle(now);
         }
+        this->requestLateView(now);
         if (this->rebuildNeeded) {
             this->rebuild();
         }
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -8,6 +8,7 @@
 #include "galenawell/front/requestcodec.h"
 #include "galenawell/front/routedrun.h"
 #include "galenawell/front/routetables.h"
+#include "galenawell/front/viewsources.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/settings/nodesettings.h"
@@ -57,9 +58,10 @@
     void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt);
     void updateControlPeer(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now);
     void chooseViewSource(TimePoint now);
-    bool wantsViewFrom(const InstanceName &control, TimePoint now) const;
+    // Requests the view from another control process if the source is late.
+    void requestLateView(TimePoint now);
     void installEncoded(const InstanceName &control, const Wire::SubscriptionReply &reply);
-    void install(const ControlView &view);
+    void install(const ControlView &view, const InstanceName &control);
     void updateFrontCount(TimePoint now);
     void rebuild();
     Asio::awaitable<void> tickLoop();
@@ -118,11 +120,8 @@
     };
 
     std::map<InstanceName, ControlPeer> controls;
-    // The control process whose views and list of impaired servers are used. The others send views only while it lags.
-    InstanceName viewSource;
-    // The newest revision that any control process reported, and when it was first reported.
-    std::uint64_t newestKnownRevision = 0;
-    TimePoint newestKnownSince;
+    // The list of impaired servers is taken from the source of the views, too.
+    ViewSources viewSources;
     std::uint64_t nextSeed = 1;
     // Registry changes come in bursts, so the table is rebuilt at most once a tick; a new configuration rebuilds it at once.
     bool rebuildNeeded = false;
--- a/src/galenawell/membership/controlsubscriptions.cpp
+++ b/src/galenawell/membership/controlsubscriptions.cpp
@@ -130,15 +130,20 @@
     }
 }
 
+void ControlSubscriptions::sendUpdate(const InstanceName &control)
+{
+    Asio::co_spawn(
+        this->executor,
+        [self = this->shared_from_this(), control]() -> Asio::awaitable<void> {
+            co_await self->subscribe(control, std::chrono::milliseconds(0));
+        },
+        Asio::detached);
+}
+
 void ControlSubscriptions::sendUpdateToAll()
 {
     for (const auto &[name, control] : this->controls) {
-        Asio::co_spawn(
-            this->executor,
-            [self = this->shared_from_this(), name = name]() -> Asio::awaitable<void> {
-                co_await self->subscribe(name, std::chrono::milliseconds(0));
-            },
-            Asio::detached);
+        this->sendUpdate(name);
     }
 }
 
--- a/src/galenawell/membership/controlsubscriptions.h
+++ b/src/galenawell/membership/controlsubscriptions.h
@@ -48,7 +48,8 @@
     void addSeeds(const std::vector<InstanceName> &seeds);
     // Adds a control process that was discovered by other means.
     void add(const InstanceName &control);
-    // Sends the current subscription to every control process now, instead of with the next long poll.
+    // Sends the current subscription to a control process now, instead of with the next long poll.
+    void sendUpdate(const InstanceName &control);
     void sendUpdateToAll();
     void stop();
     // How long a control process may delay its reply while nothing changes; from the next subscription on.
--- a/tests/unit/transport/loopback.h
+++ b/tests/unit/transport/loopback.h
@@ -18,9 +18,17 @@
     }
 
     ~IoThread()
+    {
+        this->stop();
+    }
+
+    // Afterwards objects that the handlers use may be destroyed.
+    void stop()
     {
         this->context.stop();
-        this->thread.join();
+        if (this->thread.joinable()) {
+            this->thread.join();
+        }
     }
 
     IoThread(const IoThread &) = delete;
