Refresh a leader's view while it waits for a membership change

The change now runs beside the loop, one at a time.

The process tests of lost and replaced members pass.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -303,7 +303,7 @@
         this->metrics->set(GaugeName::LogBytes, static_cast<double>(this->logStatus.bytesOnDisk));
         this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(this->view->configurationNumber));
         if (leading) {
-            co_await this->adjustVoters();
+            this->startVoterAdjustment();
         }
         const TimePoint next = MonotonicClock::now() + refreshInterval;
         while (!this->refreshRequested && !this->stopping && MonotonicClock::now() < next) {
@@ -312,6 +312,20 @@
     }
 }
 
+void ControlMember::startVoterAdjustment()
+{
+    if (std::exchange(this->adjustingVoters, true)) {
+        return;
+    }
+    Asio::co_spawn(
+        this->executor,
+        [self = this->shared_from_this()]() -> Asio::awaitable<void> {
+            co_await self->adjustVoters();
+            self->adjustingVoters = false;
+        },
+        Asio::detached);
+}
+
 void ControlMember::updateEntries(TimePoint now)
 {
     for (const EntrySetChange &change : this->fronts.updateEntries(now)) {
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -105,6 +105,8 @@
     // Requests to be added as a learner while this process isn't a member of the log.
     Asio::awaitable<void> joinLoop();
     Asio::awaitable<void> adjustVoters();
+    // Runs adjustVoters() beside the refresh of the view, which mustn't wait for a membership change.
+    void startVoterAdjustment();
     Asio::awaitable<void> pause(std::chrono::milliseconds duration);
     Asio::awaitable<void> waitForChange(TimePoint until);
     void notifyChange();
@@ -141,6 +143,7 @@
     // Timers of the coroutines in waitForChange; notifyChange cancels them.
     std::set<Asio::steady_timer *> waitingTimers;
     TimePoint leaderSince;
+    bool adjustingVoters = false;
     bool refreshRequested = false;
     bool started = false;
     bool stopping = false;
