Answer or refuse every request of a stopping front before it ends

What callers saw (reported by another operator): in a planned stop of one front, requests that came late in the grace period were taken, passed on to servers, and cut without an answer at its end, also requests that must not be repeated.

Cause: a stopping front bounded requests by their own time alone, and waited for them until exactly the end of the grace period, when it is killed.

Change: DrainPolicy decides, without a network, what is still started. A request that isn't idempotent needs its whole time or twice its latency objective, since its outcome stays unknown if it is ended early; an idempotent one is worth a short try. Others are refused at once as not run with a Retry-After of 10 ms, as other fronts serve them. 600 ms before the end what still runs is ended with what is known (partial answer, not run, or unknown), and the process exits 300 ms before the end. A request that has begun to arrive on an open connection is answered even if the listener has closed. The JSON interface needs no change, by reading: it refuses new requests and waits for the others, and its service unit allows 620 s.

--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -33,12 +33,12 @@
 // Retry-After of refusals for lack of a server or an in-flight slot: within this time, servers renew their announcements
 // and queues drain.
 constexpr std::chrono::milliseconds retryAfterRefusal{120};
+// Retry-After of a front that shuts down; the others can serve the request now.
+constexpr std::chrono::milliseconds retryAfterShutdown{10};
 // Retry-After of a front without a configuration, which has just started, probably together with all others.
 constexpr std::chrono::milliseconds retryAfterStart{400};
 // Time without requests, after the cached directory entries have expired, until the callers count as gone.
 constexpr std::chrono::milliseconds quietPeriod{700};
-// Part of the grace period that is reserved for stopping the process.
-constexpr std::chrono::milliseconds shutdownReserve{900};
 constexpr std::chrono::milliseconds shutdownPollInterval{50};
 // Servers stall occasionally, so only subrequests far above the usual latency are hedged.
 constexpr HedgeOptions hedgeOptions{.enabled = true,
@@ -115,7 +115,7 @@
 
 bool RoutedFront::ready() const
 {
-    return this->revision > 0 && this->configuration->number() > 0 && !this->draining;
+    return this->revision > 0 && this->configuration->number() > 0 && !this->drainPolicy;
 }
 
 Asio::awaitable<void> RoutedFront::pause(std::chrono::milliseconds duration)
@@ -126,13 +126,14 @@
 
 Asio::awaitable<void> RoutedFront::shutdown()
 {
-    this->draining = true;
+    const TimePoint start = MonotonicClock::now();
+    const DrainPolicy policy(start, this->settings.gracePeriod);
+    this->drainPolicy = policy;
     this->subscriptions->sendUpdateToAll();
     this->callerServer->disableKeepAlive();
-    const TimePoint end = MonotonicClock::now() + this->settings.gracePeriod - shutdownReserve;
-    const TimePoint earliest = MonotonicClock::now() + this->settings.directoryCacheDuration + quietPeriod;
-    TimePoint quietSince = MonotonicClock::now();
-    while (MonotonicClock::now() < end) {
+    const TimePoint earliest = start + this->settings.directoryCacheDuration + quietPeriod;
+    TimePoint quietSince = start;
+    while (MonotonicClock::now() < policy.acceptUntil()) {
         co_await this->pause(shutdownPollInterval);
         const TimePoint now = MonotonicClock::now();
         if (this->callerServer->inFlight() > 0) {
@@ -143,9 +144,21 @@
         }
     }
     this->callerServer->stop();
-    while (this->callerServer->inFlight() > 0 && MonotonicClock::now() < end + shutdownReserve) {
+    while (this->callerServer->inFlight() > 0 && MonotonicClock::now() < policy.answerUntil()) {
         co_await this->pause(shutdownPollInterval);
     }
+    const std::set<std::shared_ptr<RoutedRun>> unfinished = this->activeRuns;
+    for (const std::shared_ptr<RoutedRun> &run : unfinished) {
+        run->expire();
+    }
+    while (this->callerServer->inFlight() > 0 && MonotonicClock::now() < policy.exitAt()) {
+        co_await this->pause(shutdownPollInterval);
+    }
+    this->events->write(EventKind::State,
+                        Event("drained")
+                            .number("ended_early", static_cast<std::int64_t>(unfinished.size()))
+                            .number("unanswered", static_cast<std::int64_t>(this->callerServer->inFlight()))
+                            .milliseconds("after", MonotonicClock::now() - start));
     this->stopping = true;
     this->subscriptions->stop();
 }
@@ -177,9 +190,20 @@
                                Refusal{.reason = RefusalReason::MalformedRequest, .execution = Execution::NotRun, .retryAfter = {}});
     }
     const std::shared_ptr<const Route> route(current, found);
+    ScatterOptions scatter = this->scatterOptionsFor(*request, *route);
+    if (this->drainPolicy) {
+        const DrainingRequest draining{
+            .idempotent = route->idempotent, .latencyObjective = route->latencyObjective, .deadline = scatter.deadline};
+        const std::optional<TimePoint> deadline = this->drainPolicy->deadlineFor(draining, MonotonicClock::now());
+        if (!deadline) {
+            co_return this->refuse(
+                *request, Refusal{.reason = RefusalReason::ShuttingDown, .execution = Execution::NotRun, .retryAfter = retryAfterShutdown});
+        }
+        scatter.deadline = *deadline;
+    }
     RoutedRunOptions options{.request = request,
                              .route = route,
-                             .scatter = this->scatterOptionsFor(*request, *route),
+                             .scatter = std::move(scatter),
                              .table = this->table,
                              .service = nullptr,
                              .policies = nullptr,
@@ -197,7 +221,9 @@
         RoutedRunContext{
             .codec = this->codec.get(), .client = &this->client, .metrics = this->metrics.get(), .events = this->events.get()});
     caller->onClose([run] { run->cancel(); });
+    this->activeRuns.insert(run);
     ScatterOutcome outcome = co_await run->run();
+    this->activeRuns.erase(run);
     caller->onClose(nullptr);
     co_return this->completeRequest(*request, *route, std::move(outcome), run.get());
 }
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -5,6 +5,7 @@
 #include "galenawell/configuration/routeconfiguration.h"
 #include "galenawell/control/controlstate.h"
 #include "galenawell/control/viewpatch.h"
+#include "galenawell/front/drainpolicy.h"
 #include "galenawell/front/requestcodec.h"
 #include "galenawell/front/routedrun.h"
 #include "galenawell/front/routetables.h"
@@ -19,6 +20,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 
 namespace Galenawell {
@@ -37,7 +40,8 @@
                 std::shared_ptr<EventLog> events);
 
     Status start();
-    // Leaves the directory, keeps serving, and completes when no requests have arrived for a while or the grace period ends.
+    // Leaves the directory, keeps serving, and completes when no requests have arrived for a while or before the grace period
+    // ends. Every request that was passed on to a server has been answered by then.
     Asio::awaitable<void> shutdown();
     void reload(const NodeSettings &settings);
 
@@ -127,7 +131,9 @@
     bool rebuildNeeded = false;
     bool configurationChanged = false;
     TimePoint rebuiltAt;
-    bool draining = false;
+    // Set once shutdown has begun.
+    std::optional<DrainPolicy> drainPolicy;
+    std::set<std::shared_ptr<RoutedRun>> activeRuns;
     bool stopping = false;
 };
 
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -50,6 +50,13 @@
     this->finish(std::move(cancelled));
 }
 
+void RoutedRun::expire()
+{
+    if (!this->outcome) {
+        this->perform(this->scatter.expire(MonotonicClock::now()));
+    }
+}
+
 std::uint64_t RoutedRun::sends() const
 {
     return this->scatter.subrequestsSent();
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -44,6 +44,8 @@
     Asio::awaitable<ScatterOutcome> run();
     // Cancels all subrequests after the caller disconnected.
     void cancel();
+    // Ends the run now, as if its deadline had passed.
+    void expire();
 
     std::uint64_t sends() const;
     std::uint64_t hedges() const;
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -744,6 +744,12 @@
     };
 }
 
+ScatterActions Scatter::expire(TimePoint now)
+{
+    this->options.deadline = std::min(this->options.deadline, now);
+    return this->endOrSchedule({}, now);
+}
+
 ScatterActions Scatter::cancel(TimePoint now)
 {
     ScatterActions actions;
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -131,6 +131,8 @@
     ScatterActions onReply(Subreply reply, std::chrono::microseconds latency, const LoadReport &load, TimePoint now);
     ScatterActions onFailure(std::uint64_t subrequestId, const SubrequestFailure &failure, TimePoint now);
     ScatterActions onTimer(TimePoint now);
+    // Moves the deadline to now, for a process that is about to end.
+    ScatterActions expire(TimePoint now);
     // For a caller that disconnected or a process that shuts down. Produces no outcome.
     ScatterActions cancel(TimePoint now);
 
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -326,7 +326,7 @@
         // Waits for the first byte under idleTimeout, so that requestReadTimeout covers one request only.
         connection.stream.expires_after(currentLimits->idleTimeout);
         auto [waitError, received] = co_await connection.stream.async_read_some(connection.buffer.prepare(4096), awaitResult);
-        if (waitError || this->stopping) {
+        if (waitError) {
             co_return false;
         }
         connection.buffer.commit(received);
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -37,22 +37,25 @@
 
 } // namespace
 
-Reply call(const Call &request)
+KeptConnection::KeptConnection(const std::string &address, std::chrono::milliseconds connectTimeout)
+{
+    const std::size_t colon = address.rfind(':');
+    const Tcp::endpoint endpoint(Asio::ip::make_address(address.substr(0, colon)),
+                                 static_cast<unsigned short>(std::stoul(address.substr(colon + 1))));
+    this->stream.expires_after(connectTimeout);
+    // A failed connection shows as a call without a reply.
+    this->stream.async_connect(endpoint, [](const Beast::error_code &) {});
+    this->context.run();
+    this->context.restart();
+}
+
+Reply KeptConnection::call(const Call &request)
 {
-    const std::size_t colon = request.address.rfind(':');
-    const Tcp::endpoint endpoint(Asio::ip::make_address(request.address.substr(0, colon)),
-                                 static_cast<unsigned short>(std::stoul(request.address.substr(colon + 1))));
-    Asio::io_context context;
-    Beast::tcp_stream stream(context);
-    stream.expires_after(request.timeout);
     Reply reply;
+    this->stream.expires_after(request.timeout);
     Asio::co_spawn(
-        context,
+        this->context,
         [&]() -> Asio::awaitable<void> {
-            auto [connectError] = co_await stream.async_connect(endpoint, awaitResult);
-            if (connectError) {
-                co_return;
-            }
             Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
             message.method_string(request.method);
             for (const HttpHeader &header : request.headers) {
@@ -60,19 +63,24 @@
             }
             message.body() = request.body;
             message.prepare_payload();
-            auto [writeError, written] = co_await Http::async_write(stream, message, awaitResult);
+            auto [writeError, written] = co_await Http::async_write(this->stream, message, awaitResult);
             Beast::flat_buffer buffer;
             Http::response<Http::string_body> response;
-            auto [readError, read] = co_await Http::async_read(stream, buffer, response, awaitResult);
+            auto [readError, read] = co_await Http::async_read(this->stream, buffer, response, awaitResult);
             if (!writeError && !readError) {
                 reply = Reply{.status = response.result_int(), .headers = copyHeaders(response), .body = response.body()};
             }
         },
         Asio::detached);
-    context.run();
+    this->context.run();
     return reply;
 }
 
+Reply call(const Call &request)
+{
+    return KeptConnection(request.address, request.timeout).call(request);
+}
+
 bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout)
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -45,6 +45,20 @@
 // Sends the request on a new connection.
 Reply call(const Call &request);
 
+// A connection that is opened at once and carries one request later.
+class KeptConnection
+{
+public:
+    explicit KeptConnection(const std::string &address, std::chrono::milliseconds connectTimeout = std::chrono::seconds(3));
+
+    // The address of the request is ignored.
+    Reply call(const Call &request);
+
+private:
+    Asio::io_context context;
+    Beast::tcp_stream stream{this->context};
+};
+
 // Polls until the condition holds; false after the timeout.
 bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds timeout = std::chrono::seconds(20));
 
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -378,3 +378,58 @@
         });
     }));
 }
+
+// Guards against requests that a stopping front passes on and then cuts without an answer, and against a front that is still
+// there at the end of the grace period. Callers use open connections until the process is gone.
+Test(platform, requests_late_in_the_grace_period_are_answered_or_refused_as_not_run)
+{
+    constexpr std::chrono::milliseconds gracePeriod{6000};
+    constexpr int requestCount = 60;
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    TestServers servers(installation);
+    nlohmann::json document = configuration(7, twoShards, 4000);
+    for (nlohmann::json &service : document["services"]) {
+        service["connection_limit"] = 1000;
+    }
+    cr_assert(installation.putUntilAcknowledged(document));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    servers.archive.setServiceTime(2500ms);
+    servers.first.setServiceTime(2500ms);
+    std::vector<std::unique_ptr<KeptConnection>> connections;
+    for (int index = 0; index < 2 * requestCount; ++index) {
+        connections.push_back(std::make_unique<KeptConnection>(installation.callerAddress("front1")));
+    }
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    installation.sendSignal("front1", SIGTERM);
+    std::vector<Reply> replies(connections.size());
+    std::vector<std::jthread> callers;
+    for (std::size_t index = 0; index < connections.size(); ++index) {
+        callers.emplace_back([&, index] {
+            std::this_thread::sleep_until(stoppedAt + gracePeriod * static_cast<int>(index / 2) / requestCount);
+            const bool atMostOnce = index % 2 == 0;
+            replies[index] = connections[index]->call({.method = atMostOnce ? "POST" : "GET",
+                                                       .target = atMostOnce ? "/one/x" : "/wide/x",
+                                                       .headers = {{"Host", "h.example"},
+                                                                   {"Attempt-Id", "g" + std::to_string(index)},
+                                                                   {"Time-Remaining", "4000"}},
+                                                       .body = atMostOnce ? "content" : "",
+                                                       .timeout = 8000ms});
+        });
+    }
+    cr_assert(installation.stop("front1", 0, gracePeriod - (std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt))));
+    callers.clear();
+    std::size_t answered = 0;
+    std::size_t refused = 0;
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+        const std::string id = "g" + std::to_string(index);
+        const ServerStandIn &server = index % 2 == 0 ? servers.archive : servers.first;
+        const unsigned status = replies[index].status;
+        cr_assert(status != 0 || server.runsOf(id) == 0, "request %zu was passed on and got no answer", index);
+        cr_assert(status != 503 || index % 2 == 1 || server.runsOf(id) == 0, "request %zu was called not run", index);
+        answered += status == 200 ? 1 : 0;
+        refused += status == 503 ? 1 : 0;
+    }
+    cr_assert_gt(answered, 10);
+    cr_assert_gt(refused, 10);
+}
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -307,3 +307,21 @@
     cr_assert_eq(hedged.send.size(), 1);
     cr_assert(hedged.send.front().hedge && hedged.send.front().group == first.send[3].group);
 }
+
+// Guards against a running request without end while its process has to end.
+Test(routedscatter, an_expired_request_ends_at_once_with_what_it_has)
+{
+    RoutedService routed(4, 1);
+    Scatter partial = routed.scatter(routed.options(3));
+    ScatterActions actions = partial.start(start);
+    for (std::size_t index = 0; index < 3; ++index) {
+        partial.onReply(RoutedService::reply(actions.send.at(index)), 1ms, {}, start + 1ms);
+    }
+    actions = partial.expire(start + 2ms);
+    cr_assert(actions.outcome && actions.outcome->answer && actions.cancel.size() == 1);
+
+    Scatter unknown = routed.scatter(routed.options(3));
+    unknown.start(start);
+    actions = unknown.expire(start + 2ms);
+    cr_assert(actions.outcome && actions.outcome->refusal && actions.outcome->execution == Execution::Unknown);
+}
