Open the log's storage again after a failed sync

What callers saw (reported by another operator): the disks of the control instances were full for a few seconds each, one after another, and long after the last had room again changes were refused or unanswered, while all processes ran.

Cause: a write that fails for lack of space is undone and tried again, but a failing fdatasync, which reports lack of space under delayed allocation, or a failing ftruncate marked the storage as failed for good. The member then neither voted nor ticked. galenawell-node ends in that case and is started again; galenawelld went on without noticing, so three of five members in turn left no majority. Class of fault: a passing fault that is remembered for ever.

Change: after such a failure the member drops its node and opens the storage again, as after a restart, with a pause that grows to a second. The page cache can't be trusted after a failed sync, so pages that count as written are dropped before reading; the sync is never just repeated. Only stored state that can't be read still ends the process, now also galenawelld. The line 'storage' and the metrics storage_available and storage_reopened tell of it.

--- a/apps/galenawelld/main.cpp
+++ b/apps/galenawelld/main.cpp
@@ -19,6 +19,19 @@
 constexpr int exitUsage = 2;
 constexpr int exitSettings = 3;
 
+constexpr std::chrono::milliseconds failurePollInterval{200};
+
+// Stored state is read again only at process start, so a process that can't read it ends, and is started again.
+boost::asio::awaitable<void> stopOnFailure(std::shared_ptr<Galenawell::ControlProcess> process, boost::asio::io_context &context)
+{
+    boost::asio::steady_timer timer(context);
+    while (!process->failed()) {
+        timer.expires_after(failurePollInterval);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    context.stop();
+}
+
 template<typename Process>
 int runProcess(Galenawell::ProcessSettings settings)
 {
@@ -46,11 +59,20 @@
         boost::asio::co_spawn(
             context, [process] { return process->shutdown(); }, [&context](const std::exception_ptr &) { context.stop(); });
     });
+    if constexpr (std::is_same_v<Process, Galenawell::ControlProcess>) {
+        boost::asio::co_spawn(context, stopOnFailure(process, context), boost::asio::detached);
+    }
     std::vector<std::jthread> threads;
     for (unsigned index = 1; index < threadCount; ++index) {
         threads.emplace_back([&context] { context.run(); });
     }
     context.run();
+    if constexpr (std::is_same_v<Process, Galenawell::ControlProcess>) {
+        if (process->failed()) {
+            logger.error(name + " ends because its stored state can't be read");
+            return exitFailure;
+        }
+    }
     return exitOk;
 }
 
--- a/src/galenawell/consensus/datafolder.cpp
+++ b/src/galenawell/consensus/datafolder.cpp
@@ -120,6 +120,9 @@
     if (!file) {
         return file.error();
     }
+    // After a failed sync the page cache may hold content that isn't on the disk and counts as written. Such pages are dropped;
+    // pages that still wait to be written stay.
+    ::posix_fadvise(file.value().descriptor(), 0, 0, POSIX_FADV_DONTNEED);
     struct stat status = {};
     if (::fstat(file.value().descriptor(), &status) != 0) {
         return systemError("can't read", path);
--- a/src/galenawell/consensus/logstorage.cpp
+++ b/src/galenawell/consensus/logstorage.cpp
@@ -608,6 +608,11 @@
     return LogStorage(std::move(state));
 }
 
+const LogStorageOptions &LogStorage::options() const
+{
+    return this->state->options;
+}
+
 MemberId LogStorage::identity() const
 {
     return this->state->identity;
--- a/src/galenawell/consensus/logstorage.h
+++ b/src/galenawell/consensus/logstorage.h
@@ -32,6 +32,7 @@
     LogStorage(LogStorage &&) noexcept;
     LogStorage &operator=(LogStorage &&) noexcept;
 
+    const LogStorageOptions &options() const;
     MemberId identity() const;
     // True if open() found an empty folder and created a new identity.
     bool createdIdentity() const;
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -302,6 +302,7 @@
         this->metrics->set(GaugeName::CommitIndex, static_cast<double>(this->logStatus.commitIndex));
         this->metrics->set(GaugeName::LogBytes, static_cast<double>(this->logStatus.bytesOnDisk));
         this->metrics->set(GaugeName::ConfigurationNumber, static_cast<double>(this->view->configurationNumber));
+        this->updateStorageState();
         if (leading) {
             this->startVoterAdjustment();
         }
@@ -312,6 +313,19 @@
     }
 }
 
+void ControlMember::updateStorageState()
+{
+    this->metrics->set(GaugeName::StorageAvailable, this->logStatus.storageAvailable ? 1 : 0);
+    this->metrics->raiseCounterTo(CounterName::StorageReopened, static_cast<double>(this->logStatus.storageReopened));
+    if (this->storageAvailable != this->logStatus.storageAvailable) {
+        this->storageAvailable = this->logStatus.storageAvailable;
+        this->events->write(EventKind::State,
+                            Event("storage")
+                                .flag("available", this->storageAvailable)
+                                .number("reopened", static_cast<std::int64_t>(this->logStatus.storageReopened)));
+    }
+}
+
 void ControlMember::startVoterAdjustment()
 {
     if (std::exchange(this->adjustingVoters, true)) {
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -95,6 +95,7 @@
 
     Asio::awaitable<Result<ProposalOutcome>> proposeUntil(std::string command, TimePoint end);
     Asio::awaitable<Result<ProposalOutcome>> proposeOnce(std::string command);
+    void updateStorageState();
     Asio::awaitable<Result<View>> readOnce();
     Asio::awaitable<void> refreshLoop();
     // Restores the view and the backend servers that an earlier run of this process saved.
@@ -144,6 +145,7 @@
     std::set<Asio::steady_timer *> waitingTimers;
     TimePoint leaderSince;
     bool adjustingVoters = false;
+    bool storageAvailable = true;
     bool refreshRequested = false;
     bool started = false;
     bool stopping = false;
--- a/src/galenawell/control/controlprocess.cpp
+++ b/src/galenawell/control/controlprocess.cpp
@@ -144,6 +144,11 @@
     co_return;
 }
 
+bool ControlProcess::failed() const
+{
+    return this->log != nullptr && this->log->hasFailed();
+}
+
 Asio::awaitable<void> ControlProcess::pause(std::chrono::milliseconds duration)
 {
     Asio::steady_timer timer(co_await Asio::this_coro::executor, duration);
--- a/src/galenawell/control/controlprocess.h
+++ b/src/galenawell/control/controlprocess.h
@@ -24,6 +24,8 @@
     Status start();
     // Completes when the process may exit.
     Asio::awaitable<void> shutdown();
+    // True after a failure that requires a restart.
+    bool failed() const;
 
 private:
     struct FrontReport
--- a/src/galenawell/control/replicatedlog.cpp
+++ b/src/galenawell/control/replicatedlog.cpp
@@ -11,6 +11,10 @@
 
 const Log logger("log");
 
+// Pauses between attempts to open the storage again.
+constexpr std::chrono::milliseconds firstReopenPause{50};
+constexpr std::chrono::milliseconds longestReopenPause{1000};
+
 } // namespace
 
 struct ReplicatedLog::Completion
@@ -36,11 +40,13 @@
 
 ReplicatedLog::ReplicatedLog(ReplicatedLogOptions logOptions, LogStorage logStorage, SendMessage messageSender)
     : options(std::move(logOptions))
+    , storageOptions(logStorage.options())
+    , memberIdentity(logStorage.identity())
     , storage(std::move(logStorage))
     , sendMessage(std::move(messageSender))
     , tickTimer(this->thread.get_executor())
     , state(std::make_unique<ControlState>(this->options.numbering))
-    , stateStored(Galenawell::hasHistory(this->storage.restored()))
+    , stateStored(Galenawell::hasHistory(this->storage->restored()))
 {
 }
 
@@ -52,7 +58,7 @@
 
 MemberId ReplicatedLog::identity() const
 {
-    return this->storage.identity();
+    return this->memberIdentity;
 }
 
 bool ReplicatedLog::hasFailed() const
@@ -67,28 +73,86 @@
 
 Status ReplicatedLog::start(const std::optional<Membership> &initialMembership)
 {
-    RaftPersistentState restored = this->storage.restored();
+    RaftPersistentState restored = this->storage->restored();
     if (initialMembership) {
-        BOOST_OUTCOME_TRY(restored, foundInstallation(this->storage, *initialMembership));
+        BOOST_OUTCOME_TRY(restored, foundInstallation(*this->storage, *initialMembership));
         this->stateStored = true;
         logger.info("founded the installation with " + std::to_string(initialMembership->members.size()) + " members");
     }
-    if (restored.snapshot) {
+    BOOST_OUTCOME_TRY(this->startNode(std::move(restored)));
+    Asio::post(this->thread, [self = this->shared_from_this()] {
+        self->scheduleTick();
+        self->schedulePump();
+    });
+    return boost::outcome_v2::success();
+}
+
+Status ReplicatedLog::startNode(RaftPersistentState restored)
+{
+    const LogIndex snapshot = restored.snapshot ? restored.snapshot->index : 0;
+    if (snapshot > this->appliedIndex) {
         BOOST_OUTCOME_TRY(ControlState restoredState, ControlState::restore(restored.snapshot->state, this->options.numbering));
         *this->state = std::move(restoredState);
-        this->appliedIndex = restored.snapshot->index;
-        this->snapshotIndex = restored.snapshot->index;
+        this->appliedIndex = snapshot;
     }
+    this->deliveredIndex = snapshot;
+    this->snapshotIndex = snapshot;
+    this->bytesSinceSnapshot = 0;
     RaftOptions raft = this->options.raft;
-    raft.self = this->storage.identity();
+    raft.self = this->memberIdentity;
     this->node.emplace(raft, std::move(restored), std::random_device{}(), MonotonicClock::now());
-    Asio::post(this->thread, [self = this->shared_from_this()] {
-        self->scheduleTick();
-        self->schedulePump();
-    });
     return boost::outcome_v2::success();
 }
 
+bool ReplicatedLog::running() const
+{
+    return !this->stopped && !this->failed && this->node;
+}
+
+void ReplicatedLog::closeStorage(const Error &error)
+{
+    logger.error("the storage failed, this member pauses until it can be opened again: " + error.message());
+    this->lastMembership = this->node->membership();
+    this->node.reset();
+    this->storage.reset();
+    this->pendingOutput.reset();
+    this->failProposals(makeError(ErrorKind::NoQuorum, "the storage of this control process failed"));
+    while (!this->pendingReads.empty()) {
+        this->completeRead(this->pendingReads.begin()->first, makeError(ErrorKind::NotLeader, "the storage of this control process failed"));
+    }
+    this->reopenPause = firstReopenPause;
+    this->nextReopenAt = MonotonicClock::now() + this->reopenPause;
+}
+
+void ReplicatedLog::reopenStorageIfDue(TimePoint now)
+{
+    if (this->node || now < this->nextReopenAt) {
+        return;
+    }
+    Result<LogStorage> opened = LogStorage::open(this->storageOptions);
+    if (!opened && opened.error().kind != ErrorKind::StorageCorrupt) {
+        this->reopenPause = std::min(2 * this->reopenPause, longestReopenPause);
+        this->nextReopenAt = MonotonicClock::now() + this->reopenPause;
+        logger.warn("the storage can't be opened again yet: " + opened.error().message());
+        return;
+    }
+    Status started = opened ? Status(boost::outcome_v2::success()) : Status(opened.error());
+    if (opened && opened.value().identity() != this->memberIdentity) {
+        started = makeError(ErrorKind::StorageCorrupt, "the data folder belongs to another member");
+    }
+    if (started) {
+        this->storage.emplace(std::move(opened.value()));
+        started = this->startNode(this->storage->restored());
+    }
+    if (!started) {
+        logger.error("the storage can't be read again, this member stops voting: " + started.error().message());
+        this->failed = true;
+        return;
+    }
+    ++this->reopenCount;
+    logger.info("the storage is open again, up to log index " + std::to_string(this->node->lastIndex()));
+}
+
 void ReplicatedLog::stop()
 {
     Asio::post(this->thread, [self = this->shared_from_this()] {
@@ -106,8 +170,11 @@
         if (error || self == nullptr || self->stopped || self->failed) {
             return;
         }
-        self->node->tick(MonotonicClock::now());
-        self->pump();
+        self->reopenStorageIfDue(MonotonicClock::now());
+        if (self->node) {
+            self->node->tick(MonotonicClock::now());
+            self->pump();
+        }
         self->scheduleTick();
     });
 }
@@ -115,7 +182,7 @@
 void ReplicatedLog::receive(const InstanceName &peer, RaftMessage message)
 {
     Asio::post(this->thread, [self = this->shared_from_this(), peer, received = std::move(message)] {
-        if (self->stopped || self->failed || received.to != self->storage.identity()) {
+        if (!self->running() || received.to != self->memberIdentity) {
             return;
         }
         self->senderInstances[received.from] = peer;
@@ -140,7 +207,7 @@
 
 void ReplicatedLog::pump()
 {
-    if (this->stopped || this->failed) {
+    if (!this->running()) {
         return;
     }
     if (this->pendingOutput && !this->storeAndDeliver()) {
@@ -169,7 +236,7 @@
 {
     const RaftOutput output = std::move(*this->pendingOutput);
     this->pendingOutput.reset();
-    Status status = this->storage.store(output);
+    Status status = this->storage->store(output);
     if (!status) {
         if (status.error().kind == ErrorKind::StorageFull) {
             // Nothing of this output has been sent yet; storing it is retried until there is disk space.
@@ -177,9 +244,7 @@
             this->failProposals(status.error());
             return false;
         }
-        logger.error("storage failed, this member stops voting: " + status.error().message());
-        this->failed = true;
-        this->failProposals(status.error());
+        this->closeStorage(status.error());
         return false;
     }
     const bool storedLog = output.hardState || output.installSnapshot || !output.append.empty();
@@ -212,7 +277,9 @@
         this->completeRead(token, makeError(ErrorKind::NotLeader, "this control process is no longer the leader"));
     }
     const bool manyEntries = this->appliedIndex >= this->snapshotIndex + this->options.snapshotInterval;
-    if (manyEntries || this->bytesSinceSnapshot >= this->options.snapshotBytes) {
+    // A snapshot is labelled with the last delivered entry, so the state mustn't be ahead of it.
+    const bool stateIsDelivered = this->deliveredIndex >= this->appliedIndex;
+    if (stateIsDelivered && (manyEntries || this->bytesSinceSnapshot >= this->options.snapshotBytes)) {
         this->takeSnapshot();
     }
     const bool changed = output.installSnapshot.has_value() || !output.committed.empty();
@@ -223,8 +290,13 @@
 
 void ReplicatedLog::apply(const LogEntry &entry)
 {
-    this->appliedIndex = entry.index;
+    this->deliveredIndex = entry.index;
     this->bytesSinceSnapshot += entry.payload.size();
+    if (entry.index <= this->appliedIndex) {
+        // Applied before the storage was opened again.
+        return;
+    }
+    this->appliedIndex = entry.index;
     std::optional<AppliedCommand> applied;
     if (entry.kind == EntryKind::Command) {
         Result<ControlCommand> command = decodeControlCommand(entry.payload);
@@ -251,6 +323,11 @@
 
 void ReplicatedLog::installSnapshot(const RaftSnapshot &snapshot)
 {
+    this->deliveredIndex = snapshot.index;
+    this->snapshotIndex = snapshot.index;
+    if (snapshot.index <= this->appliedIndex) {
+        return;
+    }
     Result<ControlState> restored = ControlState::restore(snapshot.state, this->options.numbering);
     if (!restored) {
         logger.error("a received snapshot can't be read, this member stops voting: " + restored.error().message());
@@ -259,14 +336,13 @@
     }
     *this->state = std::move(restored.value());
     this->appliedIndex = snapshot.index;
-    this->snapshotIndex = snapshot.index;
     logger.info("installed a snapshot up to log index " + std::to_string(snapshot.index));
 }
 
 void ReplicatedLog::takeSnapshot()
 {
     const RaftSnapshot snapshot = this->node->makeSnapshot(this->state->serialise());
-    Status status = this->storage.storeSnapshot(snapshot);
+    Status status = this->storage->storeSnapshot(snapshot);
     if (!status) {
         // The log still has all entries; the snapshot is retried after the next output.
         logger.warn("a snapshot couldn't be stored: " + status.error().message());
@@ -334,8 +410,8 @@
 {
     const auto self = this->shared_from_this();
     const auto body = [self, payload = std::move(command)]() -> Asio::awaitable<Result<AppliedCommand>> {
-        if (self->stopped || self->failed) {
-            co_return makeError(ErrorKind::NotLeader, "this control process has stopped or failed");
+        if (!self->running()) {
+            co_return makeError(ErrorKind::NotLeader, "this control process has stopped or its storage failed");
         }
         if (self->pendingOutput) {
             co_return makeError(ErrorKind::StorageFull, "the data folder has no space for log entries");
@@ -349,8 +425,8 @@
 {
     const auto self = this->shared_from_this();
     const auto body = [self, proposed = std::move(membership)]() -> Asio::awaitable<Result<AppliedCommand>> {
-        if (self->stopped || self->failed) {
-            co_return makeError(ErrorKind::NotLeader, "this control process has stopped or failed");
+        if (!self->running()) {
+            co_return makeError(ErrorKind::NotLeader, "this control process has stopped or its storage failed");
         }
         co_return co_await self->waitForProposal(self->node->proposeMembership(proposed, MonotonicClock::now()));
     };
@@ -365,7 +441,7 @@
 {
     const auto self = this->shared_from_this();
     const auto body = [self]() -> Asio::awaitable<Result<AppliedCommand>> {
-        if (self->stopped || self->failed || self->node->role() != RaftRole::Leader) {
+        if (!self->running() || self->node->role() != RaftRole::Leader) {
             co_return makeError(ErrorKind::NotLeader, "this control process isn't the leader");
         }
         const std::uint64_t token = self->nextReadToken++;
@@ -394,9 +470,18 @@
     const auto self = this->shared_from_this();
     const auto body = [self]() -> Asio::awaitable<LogStatus> {
         LogStatus status;
+        status.identity = self->memberIdentity;
+        status.storageAvailable = self->node && !self->pendingOutput;
+        status.storageReopened = self->reopenCount;
+        if (!self->node) {
+            status.membership = self->lastMembership;
+            for (const Member &member : status.membership.members) {
+                status.matchIndexes[member.id] = 0;
+            }
+            co_return status;
+        }
         status.role = self->node->role();
         status.term = self->node->term();
-        status.identity = self->storage.identity();
         status.leader = self->node->leader();
         status.leaderInstance = self->instanceOf(status.leader);
         if (status.leader == status.identity) {
@@ -411,8 +496,8 @@
                 status.timeSinceLastMessage[member.id] = toMilliseconds(MonotonicClock::now() - found->second);
             }
         }
-        status.bytesOnDisk = self->storage.bytesOnDisk();
-        status.storageFull = !self->storage.checkSpace();
+        status.bytesOnDisk = self->storage->bytesOnDisk();
+        status.storageFull = !self->storage->checkSpace();
         co_return status;
     };
     co_return co_await runOn(this->thread.get_executor(), body);
--- a/src/galenawell/control/replicatedlog.h
+++ b/src/galenawell/control/replicatedlog.h
@@ -58,6 +58,11 @@
     std::map<MemberId, std::chrono::milliseconds> timeSinceLastMessage;
     std::size_t bytesOnDisk = 0;
     bool storageFull = false;
+    // False while output waits for disk space, or the storage must be opened again after a failed write or sync. The member
+    // then sends no messages.
+    bool storageAvailable = true;
+    // Number of times that the storage was opened again.
+    std::size_t storageReopened = 0;
 };
 
 class ReplicatedLog : public std::enable_shared_from_this<ReplicatedLog>
@@ -95,13 +100,19 @@
     MemberId identity() const;
     // Whether this member has stored log state.
     bool hasHistory() const;
-    // True after a failure of the storage or of a received snapshot; requires a restart.
+    // True if the stored state or a received snapshot can't be read; requires a restart. A failed write or sync doesn't count:
+    // the storage is then opened again.
     bool hasFailed() const;
 
 private:
     struct Completion;
 
     // All private functions run on the log's thread.
+    Status startNode(RaftPersistentState restored);
+    bool running() const;
+    // Ends the node, whose state may be ahead of the disk, until the storage can be opened again.
+    void closeStorage(const Error &error);
+    void reopenStorageIfDue(TimePoint now);
     void schedulePump();
     void pump();
     bool storeAndDeliver();
@@ -116,16 +127,29 @@
     Asio::awaitable<Result<AppliedCommand>> waitForProposal(Result<LogIndex> index);
 
     ReplicatedLogOptions options;
-    LogStorage storage;
+    const LogStorageOptions storageOptions;
+    const MemberId memberIdentity;
+    // Absent after a failed write or sync, until it can be opened again.
+    std::optional<LogStorage> storage;
+    TimePoint nextReopenAt;
+    std::chrono::milliseconds reopenPause{0};
+    std::size_t reopenCount = 0;
     SendMessage sendMessage;
     Asio::thread_pool thread{1};
     Asio::steady_timer tickTimer;
+    // Absent before start() and while `storage` is absent.
     std::optional<RaftNode> node;
+    // Contains committed commands only, so it stays valid while the storage is opened again.
     std::unique_ptr<ControlState> state;
     // Output that isn't stored yet. Its messages, and any later output, may only be sent once it is.
     std::optional<RaftOutput> pendingOutput;
+    // Last entry in `state`.
     LogIndex appliedIndex = 0;
+    // Last entry that the node has reported as committed; below appliedIndex after the storage was opened again.
+    LogIndex deliveredIndex = 0;
     LogIndex snapshotIndex = 0;
+    // Reported while there is no node.
+    Membership lastMembership;
     // Size of the entries applied since the last snapshot.
     std::size_t bytesSinceSnapshot = 0;
     // By log index.
