Stop using servers that say they leave or ask for a pause

Change: the adapter decodes both into ServerState; applyServerState keeps them with the health of the server's incarnation, so they outlive rebuilt tables, lost contact and a registry that still lists the server as ready, and end with its next start. They bind first sends, retries and hedges, also of requests with an older table; an answer that lost a race counts too, and one of another server at the address doesn't. A pause is prolonged by a random part of up to a quarter, so that fronts don't return in one instant. Values that can't be read are ignored, more than ten minutes are cut, both are counted and logged.

A group whose servers all leave, or pause beyond the request's latency objective, is given up at once: a stated gap while the minimum is met, otherwise refused as not run, for pauses with a Retry-After from the time when enough groups are back (servers_paused). A pause that ends earlier is waited for.

Unit tests of the decoder and of Scatter.

--- a/src/galenawell/core/reasons.cpp
+++ b/src/galenawell/core/reasons.cpp
@@ -34,6 +34,7 @@
     {"server_failed", 502, "check with the backend service whether the request took effect"},
     {"attempts_exhausted", 502, "check with the backend service whether the request took effect"},
     {"caller_left", 499, "nothing; the caller closed the connection before the answer"},
+    {"servers_paused", 503, "try again after the stated time"},
 }};
 
 // In the order of RetryReason.
--- a/src/galenawell/core/reasons.h
+++ b/src/galenawell/core/reasons.h
@@ -39,6 +39,7 @@
     ServerFailed,
     AttemptsExhausted,
     CallerLeft,
+    ServersPaused,
     Count,
 };
 
--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -6,6 +6,7 @@
 #include "galenawell/query/answer.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/routing/replicahealth.h"
+#include "galenawell/routing/serverstate.h"
 #include "galenawell/transport/backendclient.h"
 #include "galenawell/transport/httpserver.h"
 
@@ -43,6 +44,7 @@
     // The request was sent on a new connection.
     bool freshConnection = false;
     std::optional<LoadReport> load;
+    ServerState state;
     unsigned status = 0;
     std::string proof;
     // End-to-end headers only.
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -251,6 +251,7 @@
                            .probesAfterLostConnection = false,
                            .hedge = this->hedgeFor(route),
                            .usesPreferredReplicas = true};
+    options.latestPauseEnd = std::min<TimePoint>(options.deadline, request.receivedAt + route.latencyObjective);
     if (!route.isScatterGather()) {
         options.makeCollector = [](const PartitionMap &) { return std::make_unique<ForwardedReplyCollector>(); };
         return options;
@@ -303,7 +304,8 @@
         const bool notRun = outcome.execution == Execution::NotRun;
         Refusal refusal{.reason = *outcome.refusal, .execution = outcome.execution, .retryAfter = {}};
         if (notRun) {
-            refusal.retryAfter = retryAfterRefusal;
+            const Duration pause = outcome.pausedUntil.value_or(TimePoint()) - MonotonicClock::now();
+            refusal.retryAfter = std::max(retryAfterRefusal, toMilliseconds(pause));
         }
         return this->refuse(request, refusal);
     }
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -18,6 +18,7 @@
     : options(std::move(runOptions))
     , context(runContext)
     , scatter(this->options.scatter, this->options.table, *this->options.service, this->options.policies, this->options.seed)
+    , random(~this->options.seed)
 {
 }
 
@@ -124,19 +125,35 @@
     request.surplusIdleTimeout = send.replica->idlePolicy.surplusIdleTimeout;
     ExchangeResult result = co_await this->context.client->exchange(std::move(request), handle);
     this->inFlight.erase(send.subrequestId);
-    if (result.status != ExchangeStatus::Cancelled && !this->outcome) {
-        this->handleResult(send, std::move(result));
+    if (result.status == ExchangeStatus::Completed) {
+        const std::chrono::microseconds latency = result.latency;
+        ServerReply reply = this->context.codec->decodeReply(*this->options.request, std::move(result));
+        this->noteServerState(send, reply.state);
+        if (!this->outcome) {
+            this->handleReply(send, std::move(reply), latency);
+        }
+    } else if (result.status != ExchangeStatus::Cancelled && !this->outcome) {
+        this->handleFailure(send, failureFor(result));
     }
 }
 
-void RoutedRun::handleResult(const SubrequestSend &send, ExchangeResult result)
+void RoutedRun::noteServerState(const SubrequestSend &send, const ServerState &state)
 {
-    if (result.status != ExchangeStatus::Completed) {
-        this->handleFailure(send, failureFor(result));
-        return;
+    const bool leaves = applyServerState(state, *send.replica->health, this->random, MonotonicClock::now());
+    this->context.metrics->count(CounterName::LeavingReplies, state.leaving ? 1 : 0);
+    this->context.metrics->count(CounterName::ServerPauses, state.pause ? 1 : 0);
+    this->context.metrics->count(CounterName::InvalidPauses, state.pauseIsInvalid ? 1 : 0);
+    const bool changes = leaves || state.pause || state.pauseIsInvalid;
+    if (changes && this->context.events->shouldLog(EventKind::Attempt)) {
+        this->context.events->write(EventKind::Attempt,
+                                    Event("server_state")
+                                        .text("request", this->options.request->id)
+                                        .text("server", send.replica->record.key.address)
+                                        .text("identity", send.replica->record.identity)
+                                        .flag("leaving", state.leaving)
+                                        .flag("invalid_pause", state.pauseIsInvalid)
+                                        .milliseconds("pause", state.pause.value_or(std::chrono::milliseconds(0))));
     }
-    const std::chrono::microseconds latency = result.latency;
-    this->handleReply(send, this->context.codec->decodeReply(*this->options.request, std::move(result)), latency);
 }
 
 bool RoutedRun::accepts(const ServerReply &reply) const
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -54,7 +54,8 @@
     void perform(ScatterActions actions);
     void startSubrequest(const SubrequestSend &send);
     Asio::awaitable<void> exchange(SubrequestSend send, std::shared_ptr<ExchangeHandle> handle);
-    void handleResult(const SubrequestSend &send, ExchangeResult result);
+    // Applies what the server says of itself, also if the request has ended meanwhile.
+    void noteServerState(const SubrequestSend &send, const ServerState &state);
     void handleReply(const SubrequestSend &send, ServerReply reply, std::chrono::microseconds latency);
     void handleFailure(const SubrequestSend &send, const SubrequestFailure &failure);
     void finish(ScatterOutcome result);
@@ -63,6 +64,7 @@
     RoutedRunOptions options;
     RoutedRunContext context;
     Scatter scatter;
+    RandomSource random;
     std::map<std::uint64_t, std::shared_ptr<ExchangeHandle>> inFlight;
     std::optional<Asio::steady_timer> timer;
     std::optional<ScatterOutcome> outcome;
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -16,6 +16,9 @@
 constexpr double capacityShare = 0.4;
 constexpr double refillShare = 0.4;
 
+// A server that is absent from the registry for longer isn't listed again under the same incarnation.
+constexpr std::chrono::seconds absentServerRetention{120};
+
 // Share of its capacity that a budget starts with, so that all fronts may restart within one window.
 constexpr double initialTokenShare = 0.3;
 
@@ -100,17 +103,25 @@
     }
 }
 
-void RouteTables::removeAbsentServers(const std::vector<BackendRecord> &records)
+void RouteTables::removeAbsentServers(const std::vector<BackendRecord> &records, TimePoint now)
 {
     std::set<ReplicaKey> present;
     for (const BackendRecord &record : records) {
         present.insert(record.key);
     }
     for (auto tracked = this->servers.begin(); tracked != this->servers.end();) {
+        TrackedServer &server = tracked->second;
         if (present.contains(tracked->first)) {
+            server.presentAt = now;
+            ++tracked;
+            continue;
+        }
+        server.health->setAccepting(false);
+        // A running request that holds the health object may still learn that the server leaves or pauses.
+        const bool keepsState = server.health.use_count() > 1 || server.health->leaving() || server.health->pauseEnd() > now;
+        if (keepsState && now - server.presentAt < absentServerRetention) {
             ++tracked;
         } else {
-            tracked->second.health->setAccepting(false);
             tracked = this->servers.erase(tracked);
         }
     }
@@ -132,7 +143,9 @@
             if (tracked.health != nullptr) {
                 tracked.health->setAccepting(false);
             }
-            tracked = TrackedServer{.incarnation = record.incarnation, .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now)};
+            tracked = TrackedServer{.incarnation = record.incarnation,
+                                    .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now),
+                                    .presentAt = now};
         }
         tracked.health->setAccepting(record.state == BackendState::Ready);
         tracked.health->setImpaired(this->impairedAddresses.contains(record.key.address));
@@ -184,7 +197,7 @@
                                                        TimePoint now)
 {
     const std::vector<BackendRecord> records = latestAtEachAddress(allRecords);
-    this->removeAbsentServers(records);
+    this->removeAbsentServers(records, now);
     const ReplicasByService replicas = this->replicasOf(configuration, records, fronts, now);
     auto table = std::make_shared<RoutingTable>();
     table->revision = revision;
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -76,13 +76,16 @@
     {
         Incarnation incarnation = 0;
         std::shared_ptr<ReplicaHealth> health;
+        // When the server was last registered.
+        TimePoint presentAt;
     };
 
     using ReplicasByService = std::map<std::string, std::vector<Replica>>;
 
     ReplicasByService
     replicasOf(const RouteConfiguration &configuration, const std::vector<BackendRecord> &records, std::size_t fronts, TimePoint now);
-    void removeAbsentServers(const std::vector<BackendRecord> &records);
+    // Keeps servers for a while that said they leave or pause, or may yet say it, as the registry may list them again.
+    void removeAbsentServers(const std::vector<BackendRecord> &records, TimePoint now);
     void
     addTable(RoutingTable &table, const std::string &name, const std::vector<std::string> &services, const ReplicasByService &replicas);
 
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -243,6 +243,7 @@
         query.snapshot = this->chosen->snapshot;
     }
     query.usesPreferredReplicas = this->options.usesPreferredReplicas;
+    query.latestPauseEnd = this->options.latestPauseEnd;
     return query;
 }
 
@@ -522,6 +523,7 @@
     }
     this->hedgePolicyOf(progress).recordLatency(latency);
     progress.done = true;
+    progress.answered = true;
     --this->unfinishedGroups;
     // A replica whose hedge replied first is an outlier. cancelPending notes those that exceed the outlier latency.
     for (const Pending &slower : progress.pending) {
@@ -726,6 +728,9 @@
             .execution = Execution::Ran,
             .coverage = coverage,
         };
+    } else if (const std::optional<TimePoint> pauseEnd = this->endOfDecidingPause(now)) {
+        this->refuse(RefusalReason::ServersPaused, actions);
+        actions.outcome->pausedUntil = pauseEnd;
     } else if (!this->isPool()) {
         this->refuse(RefusalReason::IncompleteCoverage, actions);
     } else {
@@ -733,6 +738,26 @@
     }
 }
 
+std::optional<TimePoint> Scatter::endOfDecidingPause(TimePoint now) const
+{
+    std::vector<TimePoint> ends;
+    std::size_t reachable = 0;
+    for (const GroupProgress &progress : this->groups) {
+        const ReplicaQuery query = this->replicaQueryFor(progress);
+        if (progress.answered || hasCandidate(*progress.replicas, query)) {
+            ++reachable;
+        } else if (const std::optional<TimePoint> end = earliestPauseEnd(*progress.replicas, query, now)) {
+            ends.push_back(*end);
+        }
+    }
+    const std::size_t needed = this->minimumGroups();
+    if (reachable >= needed || reachable + ends.size() < needed) {
+        return std::nullopt;
+    }
+    std::ranges::sort(ends);
+    return ends[needed - reachable - 1];
+}
+
 void Scatter::refuse(RefusalReason reason, ScatterActions &actions)
 {
     this->ended = true;
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -33,6 +33,8 @@
     // softDeadline on, or once no group can still reply.
     std::optional<std::size_t> minimumGroups{};
     TimePoint softDeadline = TimePoint::max();
+    // A replica that asked for a pause beyond this time isn't waited for.
+    TimePoint latestPauseEnd = TimePoint::max();
     // Most replicas of one group that may run the request; 0 for no limit.
     unsigned maximumExecutions = 0;
     // False: a subrequest that may have run isn't retried, and none is hedged.
@@ -78,6 +80,8 @@
     Execution execution = Execution::Unknown;
     // Set for a refusal too.
     Coverage coverage;
+    // For a refusal because replicas pause: when enough groups can be served again.
+    std::optional<TimePoint> pausedUntil{};
 };
 
 struct ScatterActions
@@ -165,6 +169,7 @@
         std::vector<std::string> excluded;
         // Answered or given up.
         bool done = false;
+        bool answered = false;
         bool hedged = false;
         // The one retry without budget, after a refusal, has been used.
         bool freeRetryUsed = false;
@@ -275,6 +280,8 @@
     ScatterActions endOrSchedule(ScatterActions actions, TimePoint now);
     void end(TimePoint now, ScatterActions &actions);
     void refuse(RefusalReason reason, ScatterActions &actions);
+    // When the pauses of replicas let the least number of groups be answered; absent if pauses aren't the reason.
+    std::optional<TimePoint> endOfDecidingPause(TimePoint now) const;
 };
 
 } // namespace Galenawell
--- a/src/galenawell/routing/replicachooser.cpp
+++ b/src/galenawell/routing/replicachooser.cpp
@@ -26,15 +26,22 @@
     return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
 }
 
-bool isEligible(const Replica &replica, const ReplicaQuery &query)
+// Whether the replica can serve the query, now or after a pause.
+bool isServing(const Replica &replica, const ReplicaQuery &query)
 {
     const BackendRecord &record = replica.record;
-    if (record.state != BackendState::Ready || !replica.health->accepting() || contains(query.excluded, record.key.address)) {
+    const bool accepts = record.state == BackendState::Ready && replica.health->accepting() && !replica.health->leaving();
+    if (!accepts || contains(query.excluded, record.key.address)) {
         return false;
     }
     return !query.snapshot || (record.epoch == query.snapshot->epoch && record.versions.contains(query.snapshot->version));
 }
 
+bool isEligible(const Replica &replica, const ReplicaQuery &query)
+{
+    return isServing(replica, query) && replica.health->pauseEnd() <= query.latestPauseEnd;
+}
+
 double rampFraction(const Replica &replica, std::chrono::milliseconds rampUp, TimePoint now)
 {
     if (rampUp.count() <= 0) {
@@ -178,6 +185,18 @@
 
 } // namespace
 
+std::optional<TimePoint> earliestPauseEnd(const std::vector<Replica> &group, const ReplicaQuery &query, TimePoint now)
+{
+    std::optional<TimePoint> earliest;
+    for (const Replica &replica : group) {
+        const TimePoint end = replica.health->pauseEnd();
+        if (end > now && isServing(replica, query)) {
+            earliest = std::min(earliest.value_or(end), end);
+        }
+    }
+    return earliest;
+}
+
 bool hasCandidate(const std::vector<Replica> &group, const ReplicaQuery &query)
 {
     return std::any_of(group.begin(), group.end(), [&query](const Replica &replica) { return isEligible(replica, query); });
@@ -195,7 +214,7 @@
     std::vector<Candidate> eligible;
     eligible.reserve(group.size());
     for (const Replica &replica : group) {
-        if (isEligible(replica, query) && !replica.health->inBackoff(now)) {
+        if (isEligible(replica, query) && !replica.health->inBackoff(now) && replica.health->pauseEnd() <= now) {
             eligible.push_back({.replica = &replica, .halfOpen = false});
         }
     }
--- a/src/galenawell/routing/replicachooser.h
+++ b/src/galenawell/routing/replicachooser.h
@@ -37,10 +37,15 @@
     // If false, a replica several times slower than the fastest isn't used, even if the faster ones are at their limit.
     bool allowSlow = true;
     Selection selection = Selection::TwoChoices;
+    // Replicas that asked for a pause beyond this time count as unable to serve the query.
+    TimePoint latestPauseEnd = TimePoint::max();
     // Time for which a replica has a score penalty after an overdue subrequest, unless it replies.
     Duration overduePenaltyDuration{0};
 };
 
+// Earliest time after `now` at which a replica that only pauses can be used again; absent if none pauses.
+std::optional<TimePoint> earliestPauseEnd(const std::vector<Replica> &group, const ReplicaQuery &query, TimePoint now);
+
 // True if some replica is ready, holds the snapshot and isn't excluded, even if it is at its in-flight limit.
 bool hasCandidate(const std::vector<Replica> &group, const ReplicaQuery &query);
 
--- a/src/galenawell/routing/replicahealth.cpp
+++ b/src/galenawell/routing/replicahealth.cpp
@@ -222,6 +222,26 @@
     return this->acceptsWork.load(std::memory_order_relaxed);
 }
 
+void ReplicaHealth::setLeaving()
+{
+    this->isLeaving.store(true, std::memory_order_relaxed);
+}
+
+bool ReplicaHealth::leaving() const
+{
+    return this->isLeaving.load(std::memory_order_relaxed);
+}
+
+void ReplicaHealth::pauseUntil(TimePoint end)
+{
+    raiseTo(this->pausedUntil, toTicks(end));
+}
+
+TimePoint ReplicaHealth::pauseEnd() const
+{
+    return fromTicks(this->pausedUntil.load(std::memory_order_relaxed));
+}
+
 bool ReplicaHealth::ejected(TimePoint now) const
 {
     return toTicks(now) < this->ejectedUntil.load(std::memory_order_relaxed);
--- a/src/galenawell/routing/replicahealth.h
+++ b/src/galenawell/routing/replicahealth.h
@@ -64,6 +64,14 @@
     void setAccepting(bool accepts);
     bool accepting() const;
 
+    // The server said that it leaves. Never reset: a later run of the server has a health object of its own.
+    void setLeaving();
+    bool leaving() const;
+    // The server asked for a pause until this time. An earlier end than a known one is ignored.
+    void pauseUntil(TimePoint end);
+    // TimePoint() if it never asked for one.
+    TimePoint pauseEnd() const;
+
     // A subrequest takes longer than nearly all others, so the replica may be stalled. Cleared by its next reply, or after
     // the lifetime without one.
     void noteOverdue(TimePoint now);
@@ -112,6 +120,8 @@
     std::atomic<std::int64_t> failureShare{0};
     std::atomic<std::int64_t> failureShareAt{0};
     std::atomic<bool> acceptsWork{true};
+    std::atomic<bool> isLeaving{false};
+    std::atomic<std::int64_t> pausedUntil{0};
     std::atomic<std::uint32_t> reportedLoad{0};
     std::atomic<std::int64_t> reportedAt{0};
 
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -171,14 +171,34 @@
     return this->abandonedCount;
 }
 
+void ServerStandIn::setLeaving()
+{
+    this->isLeaving = true;
+}
+
+void ServerStandIn::refuseWithPause(const std::string &seconds)
+{
+    const std::lock_guard lock(this->mutex);
+    this->pauseSeconds = seconds;
+}
+
+std::size_t ServerStandIn::arrivals() const
+{
+    return this->arrivalCount;
+}
+
 Asio::awaitable<HttpResponse> ServerStandIn::handle(HttpRequest request)
 {
+    ++this->arrivalCount;
     if (request.header("Expected-Instance") != this->name) {
         co_return HttpResponse{.status = 421, .headers = {{"Not-Executed", "1"}}};
     }
     const std::string id(request.header("Attempt-Id"));
     {
         const std::lock_guard lock(this->mutex);
+        if (!this->pauseSeconds.empty()) {
+            co_return HttpResponse{.status = 503, .headers = {{"Attempt-Id", id}, {"Not-Executed", "1"}, {"Retry-After", this->pauseSeconds}}};
+        }
         ++this->runsById[id];
     }
     if (const std::chrono::milliseconds serviceTime(this->serviceTimeMilliseconds); serviceTime.count() > 0) {
@@ -192,6 +212,9 @@
     }
     HttpResponse response{.contentType = "application/octet-stream", .body = this->name + std::string(16 - this->name.size() % 16, '.')};
     response.headers = {{"Attempt-Id", id}, {"Server-Stamp", this->name + "." + id}, {"Server-Load", "0,0,1"}};
+    if (this->isLeaving) {
+        response.headers.push_back({"Server-Leaving", "1"});
+    }
     co_return response;
 }
 
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -80,6 +80,12 @@
     void setServiceTime(std::chrono::milliseconds duration);
     // Number of requests whose connection closed before the answer.
     std::size_t abandoned() const;
+    // Says in all answers from now on that it leaves.
+    void setLeaving();
+    // Refuses all requests from now on and asks for a pause; an empty text ends that.
+    void refuseWithPause(const std::string &seconds);
+    // Refused requests included.
+    std::size_t arrivals() const;
 
 private:
     Asio::awaitable<HttpResponse> handle(HttpRequest request);
@@ -92,7 +98,10 @@
     std::atomic<std::uint64_t> sequence{0};
     std::atomic<std::int64_t> serviceTimeMilliseconds{0};
     std::atomic<std::size_t> abandonedCount{0};
+    std::atomic<std::size_t> arrivalCount{0};
+    std::atomic<bool> isLeaving{false};
     mutable std::mutex mutex;
+    std::string pauseSeconds;
     std::map<std::string, std::size_t> runsById;
     // Declared before the server, whose sockets use its io_context.
     IoThread ioThread;
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -379,6 +379,63 @@
     }));
 }
 
+// Guards against requests to a server that says in its answers that it leaves, while its heartbeats still say that it is ready.
+Test(platform, a_server_that_answers_that_it_leaves_gets_no_new_requests)
+{
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    cr_assert(installation.putUntilAcknowledged(configuration(7, twoShards)));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    servers.archive.setLeaving();
+    servers.second.setLeaving();
+    cr_assert(sendRequest(installation, "front1", "/one/x", "last").status == 200);
+    cr_assert(sendRequest(installation, "front1", "/wide/x", "lastwide").status == 200);
+    const std::size_t archiveBefore = servers.archive.arrivals();
+    const std::size_t secondBefore = servers.second.arrivals();
+    for (int index = 0; index < 20; ++index) {
+        const std::string id = std::to_string(index);
+        cr_assert(sendRequest(installation, "front1", "/one/x", "l" + id).status == 503);
+        const Reply wide = sendRequest(installation, "front1", "/wide/x", "w" + id);
+        cr_assert(wide.status == 200 && wide.header("Missing-Parts") == "1");
+        std::this_thread::sleep_for(100ms);
+    }
+    cr_assert(servers.archive.arrivals() == archiveBefore);
+    cr_assert(servers.second.arrivals() == secondBefore);
+}
+
+// Guards against requests to a server in the pause that it asked for, and against callers that wait for it.
+Test(platform, a_server_that_asks_for_a_pause_gets_no_requests_until_it_ends)
+{
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    nlohmann::json document = configuration(7, twoShards);
+    document["routes"][1]["target_latency_ms"] = 300;
+    cr_assert(installation.putUntilAcknowledged(document));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    const std::size_t before = servers.archive.arrivals();
+    servers.archive.refuseWithPause("2.5");
+    const auto askedAt = std::chrono::steady_clock::now();
+    cr_assert(sendRequest(installation, "front1", "/one/x", "first").status == 503);
+    const std::size_t refused = servers.archive.arrivals();
+    cr_assert(refused > before && refused <= before + 2);
+    for (int index = 0; std::chrono::steady_clock::now() < askedAt + 2000ms; ++index) {
+        const auto sentAt = std::chrono::steady_clock::now();
+        const Reply reply = sendRequest(installation, "front1", "/one/x", "p" + std::to_string(index));
+        if (std::chrono::steady_clock::now() < askedAt + 2000ms) {
+            cr_assert(reply.status == 503 && std::stod(reply.header("Retry-After")) > 0.2);
+            cr_assert(std::chrono::steady_clock::now() - sentAt < 1s);
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+    if (std::chrono::steady_clock::now() < askedAt + 2500ms) {
+        cr_assert(servers.archive.arrivals() == refused);
+    }
+    servers.archive.refuseWithPause("");
+    cr_assert(waitUntil([&] { return sendRequest(installation, "front1", "/one/x", "after").status == 200; }, 5000ms));
+}
+
 // Guards against requests that a stopping front passes on and then cuts without an answer, and against a front that is still
 // there at the end of the grace period. Callers use open connections until the process is gone.
 Test(platform, requests_late_in_the_grace_period_are_answered_or_refused_as_not_run)
--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -130,3 +130,30 @@
     cr_assert(findHeader(response.headers, "Part-Stamps") == "p1, p2");
     cr_assert(findHeader(response.headers, "Missing-Parts") == "1");
 }
+
+// Guards against a server that is taken for leaving by a damaged header, or by the reply of another server at its address.
+Test(requestheaders, only_the_expected_server_says_that_it_leaves)
+{
+    cr_assert(decodeReply(200, {{"Server-Leaving", "1"}}).state.leaving);
+    cr_assert(decodeReply(503, {{"server-leaving", "1"}}).state.leaving);
+    cr_assert(!decodeReply(421, {{"Server-Leaving", "1"}}).state.leaving);
+    for (const char *damaged : {"", "0", "11", "1x", "yes"}) {
+        cr_assert(!decodeReply(200, {{"Server-Leaving", damaged}}).state.leaving);
+    }
+    cr_assert(!decodeReply(200, {}).state.leaving);
+}
+
+// Guards against a pause that is ignored, and against odd values that stop the use of a server for long.
+Test(requestheaders, a_pause_is_read_from_refusals_in_seconds)
+{
+    const auto stateOf = [](unsigned status, const std::string &value) { return decodeReply(status, {{"Retry-After", value}}).state; };
+    cr_assert(stateOf(503, "2").pause == 2s);
+    cr_assert(stateOf(503, "0.25").pause == 250ms);
+    cr_assert(stateOf(503, "0").pause == 0ms);
+    cr_assert(!stateOf(429, "2").pause && !stateOf(200, "2").pause);
+    cr_assert(!decodeReply(503, {}).state.pause && !decodeReply(503, {}).state.pauseIsInvalid);
+    for (const char *odd : {"-1", "soon", "1s", "nan", "inf", "1e400", "Wed, 21 Oct 2026 07:28:00 GMT", " "}) {
+        cr_assert(!stateOf(503, odd).pause && stateOf(503, odd).pauseIsInvalid, "%s", odd);
+    }
+    cr_assert(stateOf(503, "31536000").pause == 10min && stateOf(503, "31536000").pauseIsInvalid);
+}
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -308,6 +308,104 @@
     cr_assert(hedged.send.front().hedge && hedged.send.front().group == first.send[3].group);
 }
 
+// Guards against hedges and retries to a server that said that it leaves, by requests that still have an older table.
+Test(routedscatter, a_leaving_replica_gets_neither_hedges_nor_retries)
+{
+    RoutedService routed(1, 3);
+    ScatterOptions options = routed.options(1);
+    options.softDeadline = TimePoint::max();
+    Scatter scatter = routed.scatter(options);
+    ScatterActions actions = scatter.start(start);
+    const Replica *first = actions.send.at(0).replica;
+    const Replica *leaving = nullptr;
+    for (const Replica &replica : routed.table.groups.at("g0")) {
+        if (&replica != first && leaving == nullptr) {
+            leaving = &replica;
+        }
+    }
+    leaving->health->setLeaving();
+    // As after a rebuilt table in which the registry lists it as ready.
+    leaving->health->setAccepting(true);
+    actions = scatter.onFailure(actions.send.at(0).subrequestId, {.reason = RetryReason::Overloaded}, start + 1ms);
+    cr_assert(!actions.send.empty() && actions.send.at(0).replica != leaving);
+    actions = scatter.onTimer(start + 900ms);
+    for (const SubrequestSend &send : actions.send) {
+        cr_assert(send.replica != leaving);
+    }
+}
+
+// Guards against a request that waits until its deadline for a group whose last server leaves.
+Test(routedscatter, a_group_whose_last_replica_leaves_is_given_up_at_once)
+{
+    RoutedService routed(4, 1);
+    routed.table.groups.at("g0").at(0).health->setLeaving();
+    Scatter scatter = routed.scatter(routed.options(3));
+    ScatterActions actions = scatter.start(start);
+    cr_assert(actions.send.size() == 3);
+    for (const SubrequestSend &send : std::vector(actions.send)) {
+        actions = scatter.onReply(RoutedService::reply(send), 1ms, {}, start + 1ms);
+    }
+    cr_assert(actions.outcome && actions.outcome->answer && actions.outcome->answer->coverage.missing.size() == 1);
+
+    routed.table.groups.at("g1").at(0).health->setLeaving();
+    Scatter refused = routed.scatter(routed.options(3));
+    actions = refused.start(start);
+    cr_assert(actions.outcome && actions.outcome->refusal == RefusalReason::IncompleteCoverage);
+}
+
+// Guards against requests to a server that asked for a pause, and against a refusal that doesn't say when it ends.
+Test(routedscatter, a_request_whose_servers_all_pause_is_refused_at_once_with_the_end_of_the_pause)
+{
+    RoutedService routed(1, 2);
+    routed.table.groups.at("g0").at(0).health->pauseUntil(start + 700ms);
+    routed.table.groups.at("g0").at(1).health->pauseUntil(start + 500ms);
+    ScatterOptions options = routed.options(1);
+    options.softDeadline = TimePoint::max();
+    options.latestPauseEnd = start + 300ms;
+    Scatter scatter = routed.scatter(options);
+    const ScatterActions actions = scatter.start(start);
+    cr_assert(actions.send.empty() && actions.outcome);
+    cr_assert(actions.outcome->refusal == RefusalReason::ServersPaused && actions.outcome->execution == Execution::NotRun);
+    cr_assert(actions.outcome->pausedUntil == start + 500ms);
+}
+
+// Guards against refusing a request although its server is back in time.
+Test(routedscatter, a_pause_that_ends_in_time_is_waited_for)
+{
+    RoutedService routed(1, 1);
+    routed.table.groups.at("g0").at(0).health->pauseUntil(start + 100ms);
+    ScatterOptions options = routed.options(1);
+    options.softDeadline = TimePoint::max();
+    options.latestPauseEnd = start + 300ms;
+    Scatter scatter = routed.scatter(options);
+    ScatterActions actions = scatter.start(start);
+    TimePoint now = start;
+    while (actions.send.empty()) {
+        cr_assert(!actions.outcome && actions.nextTimerAt);
+        now = *actions.nextTimerAt;
+        cr_assert(now < start + 200ms);
+        actions = scatter.onTimer(now);
+    }
+    cr_assert(now >= start + 100ms);
+}
+
+// Guards against a whole answer that is refused because one group pauses, and against a gap that isn't stated.
+Test(routedscatter, a_paused_group_is_a_stated_gap_while_the_minimum_is_met)
+{
+    RoutedService routed(4, 1);
+    routed.table.groups.at("g2").at(0).health->pauseUntil(start + 2s);
+    ScatterOptions options = routed.options(3);
+    options.latestPauseEnd = start + 100ms;
+    Scatter scatter = routed.scatter(options);
+    ScatterActions actions = scatter.start(start);
+    cr_assert(actions.send.size() == 3);
+    for (const SubrequestSend &send : std::vector(actions.send)) {
+        actions = scatter.onReply(RoutedService::reply(send), 1ms, {}, start + 1ms);
+    }
+    cr_assert(actions.outcome && actions.outcome->answer);
+    cr_assert(actions.outcome->answer->coverage.missing == std::vector<std::string>{"g2"});
+}
+
 // Guards against a running request without end while its process has to end.
 Test(routedscatter, an_expired_request_ends_at_once_with_what_it_has)
 {
