Refuse a request as not run if too few groups can be reached

Found while adding pauses: Scatter sent the subrequests of the groups that have servers before it noticed that too few groups have any, cancelled them at once, and could say only that the outcome is unknown. The condition is the same as the one under which a group is given up when it is tried.

Test: routedscatter.a_group_whose_last_replica_leaves_is_given_up_at_once asks for a refusal without sends; by reading, the code before sent two.

--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -167,6 +167,12 @@
     if (this->ended || !this->prepare(now, actions)) {
         return actions;
     }
+    const auto isReachable = [this](const GroupProgress &progress) { return this->isReachable(progress); };
+    if (static_cast<std::size_t>(std::ranges::count_if(this->groups, isReachable)) < this->minimumGroups()) {
+        // Nothing has been sent, so the caller is told that the request hasn't run.
+        this->refuseUnanswered(now, actions);
+        return actions;
+    }
     for (std::size_t index = 0; index < this->groups.size(); ++index) {
         this->trySend(index, now, actions);
     }
@@ -728,7 +734,14 @@
             .execution = Execution::Ran,
             .coverage = coverage,
         };
-    } else if (const std::optional<TimePoint> pauseEnd = this->endOfDecidingPause(now)) {
+    } else {
+        this->refuseUnanswered(now, actions);
+    }
+}
+
+void Scatter::refuseUnanswered(TimePoint now, ScatterActions &actions)
+{
+    if (const std::optional<TimePoint> pauseEnd = this->endOfDecidingPause(now)) {
         this->refuse(RefusalReason::ServersPaused, actions);
         actions.outcome->pausedUntil = pauseEnd;
     } else if (!this->isPool()) {
@@ -738,15 +751,19 @@
     }
 }
 
+bool Scatter::isReachable(const GroupProgress &progress) const
+{
+    return progress.answered || hasCandidate(*progress.replicas, this->replicaQueryFor(progress));
+}
+
 std::optional<TimePoint> Scatter::endOfDecidingPause(TimePoint now) const
 {
     std::vector<TimePoint> ends;
     std::size_t reachable = 0;
     for (const GroupProgress &progress : this->groups) {
-        const ReplicaQuery query = this->replicaQueryFor(progress);
-        if (progress.answered || hasCandidate(*progress.replicas, query)) {
+        if (this->isReachable(progress)) {
             ++reachable;
-        } else if (const std::optional<TimePoint> end = earliestPauseEnd(*progress.replicas, query, now)) {
+        } else if (const auto end = earliestPauseEnd(*progress.replicas, this->replicaQueryFor(progress), now)) {
             ends.push_back(*end);
         }
     }
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -279,7 +279,11 @@
 
     ScatterActions endOrSchedule(ScatterActions actions, TimePoint now);
     void end(TimePoint now, ScatterActions &actions);
+    // For a query that can't get the least number of groups.
+    void refuseUnanswered(TimePoint now, ScatterActions &actions);
     void refuse(RefusalReason reason, ScatterActions &actions);
+    // Answered, or some replica can serve the group now or after a short pause.
+    bool isReachable(const GroupProgress &progress) const;
     // When the pauses of replicas let the least number of groups be answered; absent if pauses aren't the reason.
     std::optional<TimePoint> endOfDecidingPause(TimePoint now) const;
 };
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -351,6 +351,7 @@
     Scatter refused = routed.scatter(routed.options(3));
     actions = refused.start(start);
     cr_assert(actions.outcome && actions.outcome->refusal == RefusalReason::IncompleteCoverage);
+    cr_assert(actions.send.empty() && actions.outcome->execution == Execution::NotRun);
 }
 
 // Guards against requests to a server that asked for a pause, and against a refusal that doesn't say when it ends.
