--- a/src/galenawell/front/viewsources.cpp
+++ b/src/galenawell/front/viewsources.cpp
@@ -26,14 +26,17 @@
         const ViewCandidate &best = candidates.front();
         this->sourceName = best.control;
         // One outage of a data centre shouldn't silence both.
-        const auto elsewhere = std::ranges::find_if(
-            candidates, [&best](const ViewCandidate &candidate) { return candidate.dataCentre != best.dataCentre; });
+        const auto elsewhere
+            = std::ranges::find_if(candidates, [&best](const ViewCandidate &candidate) { return candidate.dataCentre != best.dataCentre; });
         if (elsewhere != candidates.end()) {
             this->witnessName = elsewhere->control;
         } else if (candidates.size() > 1) {
             this->witnessName = candidates[1].control;
         }
     }
+    std::erase_if(this->reportedRevisions, [&candidates](const auto &reported) {
+        return std::ranges::find(candidates, reported.first, &ViewCandidate::control) == candidates.end();
+    });
     return this->sourceName != previous;
 }
 
--- a/src/galenawell/front/viewsources.h
+++ b/src/galenawell/front/viewsources.h
@@ -64,6 +64,7 @@
     InstanceName sourceName;
     // Tells of newer views without sending them, so that a source that answers but is behind the others is noticed.
     InstanceName witnessName;
+    // By the control processes in contact.
     std::map<InstanceName, std::uint64_t> reportedRevisions;
     std::uint64_t installed = 0;
     std::uint64_t newest = 0;
