--- a/src/galenawell/control/replicatedlog.cpp
+++ b/src/galenawell/control/replicatedlog.cpp
@@ -116,9 +116,10 @@
     this->node.reset();
     this->storage.reset();
     this->pendingOutput.reset();
-    this->failProposals(makeError(ErrorKind::NoQuorum, "the storage of this control process failed"));
+    const std::string reason = "the storage of this control process failed";
+    this->failProposals(makeError(ErrorKind::NoQuorum, reason));
     while (!this->pendingReads.empty()) {
-        this->completeRead(this->pendingReads.begin()->first, makeError(ErrorKind::NotLeader, "the storage of this control process failed"));
+        this->completeRead(this->pendingReads.begin()->first, makeError(ErrorKind::NotLeader, reason));
     }
     this->reopenPause = firstReopenPause;
     this->nextReopenAt = MonotonicClock::now() + this->reopenPause;
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -143,9 +143,8 @@
             if (tracked.health != nullptr) {
                 tracked.health->setAccepting(false);
             }
-            tracked = TrackedServer{.incarnation = record.incarnation,
-                                    .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now),
-                                    .presentAt = now};
+            tracked = TrackedServer{
+                .incarnation = record.incarnation, .health = std::make_shared<ReplicaHealth>(EjectionOptions{}, now), .presentAt = now};
         }
         tracked.health->setAccepting(record.state == BackendState::Ready);
         tracked.health->setImpaired(this->impairedAddresses.contains(record.key.address));
--- a/tests/fault/consensus/faultyfiles.h
+++ b/tests/fault/consensus/faultyfiles.h
@@ -60,7 +60,8 @@
     bool fails(Call call, const std::string &path)
     {
         const std::lock_guard lock(this->mutex);
-        const bool failing = !this->failingFolder.empty() && (path + "/").starts_with(this->failingFolder) && this->failingCalls.contains(call);
+        const bool failing
+            = !this->failingFolder.empty() && (path + "/").starts_with(this->failingFolder) && this->failingCalls.contains(call);
         this->faultCount += failing ? 1 : 0;
         return failing;
     }
--- a/tests/fault/routing/test_serverstatefaults.cpp
+++ b/tests/fault/routing/test_serverstatefaults.cpp
@@ -191,8 +191,7 @@
         }
         for (const SubrequestSend &send : actions.send) {
             const BackendRecord &record = send.replica->record;
-            const Server &server
-                = *std::ranges::find(this->servers, record.key, [](const Server &known) { return known.record.key; });
+            const Server &server = *std::ranges::find(this->servers, record.key, [](const Server &known) { return known.record.key; });
             if (server.record.incarnation == record.incarnation) {
                 cr_assert(!server.saidLeaving, "%s was sent a request after it said that it leaves", record.key.address.c_str());
                 cr_assert(this->now >= server.pausedUntil, "%s was sent a request in its pause", record.key.address.c_str());
@@ -209,7 +208,8 @@
     TimePoint now = start;
     std::vector<Server> servers;
     RouteConfiguration configured = configuration();
-    RouteTables tables{RouteTableOptions{.location = {.instance = "f", .dataCentre = "z0"}, .hedge = {.enabled = true}, .extraLoadSlack = 1e6}};
+    RouteTables tables{
+        RouteTableOptions{.location = {.instance = "f", .dataCentre = "z0"}, .hedge = {.enabled = true}, .extraLoadSlack = 1e6}};
     std::shared_ptr<const RoutingTable> table;
     std::vector<std::unique_ptr<Request>> requests;
 };
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -197,7 +197,8 @@
     {
         const std::lock_guard lock(this->mutex);
         if (!this->pauseSeconds.empty()) {
-            co_return HttpResponse{.status = 503, .headers = {{"Attempt-Id", id}, {"Not-Executed", "1"}, {"Retry-After", this->pauseSeconds}}};
+            co_return HttpResponse{.status = 503,
+                                   .headers = {{"Attempt-Id", id}, {"Not-Executed", "1"}, {"Retry-After", this->pauseSeconds}}};
         }
         ++this->runsById[id];
     }
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -465,16 +465,17 @@
         callers.emplace_back([&, index] {
             std::this_thread::sleep_until(stoppedAt + gracePeriod * static_cast<int>(index / 2) / requestCount);
             const bool atMostOnce = index % 2 == 0;
-            replies[index] = connections[index]->call({.method = atMostOnce ? "POST" : "GET",
-                                                       .target = atMostOnce ? "/one/x" : "/wide/x",
-                                                       .headers = {{"Host", "h.example"},
-                                                                   {"Attempt-Id", "g" + std::to_string(index)},
-                                                                   {"Time-Remaining", "4000"}},
-                                                       .body = atMostOnce ? "content" : "",
-                                                       .timeout = 8000ms});
+            replies[index] = connections[index]->call(
+                {.method = atMostOnce ? "POST" : "GET",
+                 .target = atMostOnce ? "/one/x" : "/wide/x",
+                 .headers = {{"Host", "h.example"}, {"Attempt-Id", "g" + std::to_string(index)}, {"Time-Remaining", "4000"}},
+                 .body = atMostOnce ? "content" : "",
+                 .timeout = 8000ms});
         });
     }
-    cr_assert(installation.stop("front1", 0, gracePeriod - (std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt))));
+    const auto sinceSignal = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - stoppedAt);
+    // Signal 0 only waits for the process to end.
+    cr_assert(installation.stop("front1", 0, gracePeriod - sinceSignal));
     callers.clear();
     std::size_t answered = 0;
     std::size_t refused = 0;
