Refuse requests for a while before a stopping JSON front closes its listener

What callers saw: in a planned stop, a caller that sent its next request right after an answer could find the connection closed instead of being told that the request hasn't run.

Cause: the listener was closed as soon as no request was in flight, with no time for callers to send the next one and be refused. A caller that got no processor for 20 ms came too late.

--- a/src/galenawell/front/frontprocess.cpp
+++ b/src/galenawell/front/frontprocess.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds catchUpInterval{200};
 constexpr std::chrono::milliseconds evidenceTimeout{300};
 constexpr std::chrono::milliseconds shutdownPollInterval{20};
+// After the last answer, the listener stays open for this long: callers that send their next request are told that it hasn't
+// run, instead of finding the connection closed.
+constexpr std::chrono::milliseconds refusalPeriod{500};
 
 } // namespace
 
@@ -341,6 +344,7 @@
     while (this->queryService->inFlight() > 0) {
         co_await this->pause(shutdownPollInterval);
     }
+    co_await this->pause(refusalPeriod);
     this->callerServer->stop();
     while (this->callerServer->inFlight() > 0) {
         co_await this->pause(shutdownPollInterval);
