Do nothing for replies in which a server says nothing of itself

Found in the last read of the change: every reply incremented three counters by zero, and every request seeded a random engine (mt19937_64) that only a pause uses. Both happen now only for a reply with such a statement.

--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -18,7 +18,6 @@
     : options(std::move(runOptions))
     , context(runContext)
     , scatter(this->options.scatter, this->options.table, *this->options.service, this->options.policies, this->options.seed)
-    , random(~this->options.seed)
 {
 }
 
@@ -139,7 +138,11 @@
 
 void RoutedRun::noteServerState(const SubrequestSend &send, const ServerState &state)
 {
-    const bool leaves = applyServerState(state, *send.replica->health, this->random, MonotonicClock::now());
+    if (!state.leaving && !state.pause && !state.pauseIsInvalid) {
+        return;
+    }
+    RandomSource random(this->options.seed + send.subrequestId);
+    const bool leaves = applyServerState(state, *send.replica->health, random, MonotonicClock::now());
     this->context.metrics->count(CounterName::LeavingReplies, state.leaving ? 1 : 0);
     this->context.metrics->count(CounterName::ServerPauses, state.pause ? 1 : 0);
     this->context.metrics->count(CounterName::InvalidPauses, state.pauseIsInvalid ? 1 : 0);
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -64,7 +64,6 @@
     RoutedRunOptions options;
     RoutedRunContext context;
     Scatter scatter;
-    RandomSource random;
     std::map<std::uint64_t, std::shared_ptr<ExchangeHandle>> inFlight;
     std::optional<Asio::steady_timer> timer;
     std::optional<ScatterOutcome> outcome;
