--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -205,11 +205,11 @@
                              .route = route,
                              .scatter = std::move(scatter),
                              .table = this->table,
+                             .target = route->isScatterGather() ? RouteTables::tableName(route->groups) : this->chooseTarget(*route),
                              .service = nullptr,
                              .policies = nullptr,
                              .seed = this->nextSeed++};
-    const std::string target = route->isScatterGather() ? RouteTables::tableName(route->groups) : this->chooseTarget(*route);
-    options.service = options.table->findService(target);
+    options.service = options.table->findService(options.target);
     if (options.service == nullptr) {
         co_return this->refuse(
             *request, Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = retryAfterRefusal});
@@ -329,6 +329,9 @@
         if (!coverage.missing.empty()) {
             event.text("first_missing", coverage.missing.front());
         }
+        if (!route.isScatterGather()) {
+            event.text("service", run->target());
+        }
         this->events->write(kind, event);
     }
     return this->codec->encodeAnswer(route, std::move(*outcome.answer));
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -57,6 +57,11 @@
     }
 }
 
+const std::string &RoutedRun::target() const
+{
+    return this->options.target;
+}
+
 std::uint64_t RoutedRun::sends() const
 {
     return this->scatter.subrequestsSent();
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace Galenawell {
 
@@ -21,6 +22,8 @@
     std::shared_ptr<const Route> route;
     ScatterOptions scatter;
     std::shared_ptr<const RoutingTable> table;
+    // Name of the service in the table.
+    std::string target;
     // Points into the table.
     const ServiceTable *service = nullptr;
     std::shared_ptr<ServicePolicies> policies;
@@ -47,6 +50,7 @@
     // Ends the run now, as if its deadline had passed.
     void expire();
 
+    const std::string &target() const;
     std::uint64_t sends() const;
     std::uint64_t hedges() const;
 
