Split requests by the weights of the current configuration only

What callers saw: nothing is on record for this one; it was found while looking for what could hand a request to the service of an older configuration. After a change that takes a service's weight to 0, a front still sends it requests of that route, the first ones to come, however long after the change.

Cause: the counters of the smooth weighted round robin were kept by the route's name and carried over to a route with other services or weights. A service that was owed requests under the old weights got them under the new ones, up to many if the new weights are on a smaller scale.

The counters now belong to the services and weights they were made for, and a service of weight 0 is never chosen. A split that starts chooses its first service at random by weight, because all fronts start a changed split at once. The decision is a state machine of its own, TrafficSplits.

--- a/src/galenawell/configuration/routeconfiguration.h
+++ b/src/galenawell/configuration/routeconfiguration.h
@@ -19,6 +19,8 @@
 {
     std::string service;
     double weight = 1.0;
+
+    bool operator==(const WeightedService &) const = default;
 };
 
 struct Route
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -75,6 +75,7 @@
     , configuration(std::make_shared<RouteConfiguration>())
     , table(std::make_shared<RoutingTable>())
     , sharingFronts(frontCountStability)
+    , splits(std::random_device{}())
     , nextSeed(std::random_device{}())
 {
 }
@@ -205,7 +206,7 @@
                              .route = route,
                              .scatter = std::move(scatter),
                              .table = this->table,
-                             .target = route->isScatterGather() ? RouteTables::tableName(route->groups) : this->chooseTarget(*route),
+                             .target = this->chooseTarget(*route),
                              .service = nullptr,
                              .policies = nullptr,
                              .seed = this->nextSeed++};
@@ -264,21 +265,7 @@
 
 std::string RoutedFront::chooseTarget(const Route &route)
 {
-    if (route.services.size() == 1) {
-        return RouteTables::tableName(route.services.front().service);
-    }
-    // Smooth weighted round robin: every sequence of requests is distributed in proportion to the weights.
-    std::vector<double> &weights = this->currentWeights[route.name];
-    weights.resize(route.services.size(), 0.0);
-    double total = 0;
-    std::size_t largest = 0;
-    for (std::size_t index = 0; index < weights.size(); ++index) {
-        weights[index] += route.services[index].weight;
-        total += route.services[index].weight;
-        largest = weights[index] > weights[largest] ? index : largest;
-    }
-    weights[largest] -= total;
-    return RouteTables::tableName(route.services[largest].service);
+    return route.isScatterGather() ? RouteTables::tableName(route.groups) : RouteTables::tableName(this->splits.choose(route));
 }
 
 HttpResponse RoutedFront::refuse(const RoutedRequest &request, const Refusal &refusal)
@@ -529,11 +516,10 @@
         return;
     }
     const bool first = !this->ready();
-    const auto isRemoved = [&candidate = parsed.value()](const auto &entry) {
+    std::erase_if(this->hedges, [&candidate = parsed.value()](const auto &entry) {
         return std::ranges::find(candidate.routes(), entry.first, &Route::name) == candidate.routes().end();
-    };
-    std::erase_if(this->hedges, isRemoved);
-    std::erase_if(this->currentWeights, isRemoved);
+    });
+    this->splits.retain(parsed.value());
     this->revision = view.revision;
     this->configuration = std::make_shared<const RouteConfiguration>(std::move(parsed.value()));
     this->callerServer->setLimits(HttpLimits{.maximumHeaderBytes = this->configuration->limits().maximumHeaderBytes,
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -9,6 +9,7 @@
 #include "galenawell/front/requestcodec.h"
 #include "galenawell/front/routedrun.h"
 #include "galenawell/front/routetables.h"
+#include "galenawell/front/trafficsplits.h"
 #include "galenawell/front/viewsources.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
@@ -55,7 +56,7 @@
     HttpResponse completeRequest(const RoutedRequest &request, const Route &route, ScatterOutcome outcome, const RoutedRun *run);
     ScatterOptions scatterOptionsFor(const RoutedRequest &request, const Route &route);
     std::shared_ptr<HedgePolicy> hedgeFor(const Route &route);
-    // Table name of the service for this request, by smooth weighted round robin.
+    // Table name of the service or the groups for the next request on the route.
     std::string chooseTarget(const Route &route);
 
     Wire::Subscription subscriptionFor(const InstanceName &control);
@@ -105,7 +106,7 @@
     bool needsWholeView = false;
     // Start of the current period with replies from control processes; unset after a gap of controlContactTimeout.
     TimePoint controlContactSince;
-    std::map<std::string, std::vector<double>> currentWeights;
+    TrafficSplits splits;
     // Latencies of subrequests by route, because the cost of a request depends on its route.
     std::map<std::string, std::shared_ptr<HedgePolicy>> hedges;
     // State of the subscription to one control process.
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -436,6 +436,52 @@
     cr_assert(waitUntil([&] { return sendRequest(installation, "front1", "/one/x", "after").status == 200; }, 5000ms));
 }
 
+// Guards against a split of requests that is decided with the weights of an older configuration.
+Test(platform, a_service_whose_weight_falls_to_zero_gets_no_more_requests)
+{
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    ServerStandIn other("other", "i-other", "z1");
+    std::uint64_t version = 10;
+    const auto apply = [&](int archiveWeight, int otherWeight) {
+        nlohmann::json document = configuration(++version, twoShards);
+        document["services"].push_back({{"name", "other"}, {"connection_limit", 40}});
+        nlohmann::json split = document["routes"][1];
+        split.erase("service");
+        split["name"] = "split";
+        split["path_prefix"] = "/split/";
+        split["traffic_split"] = {{{"service", "archive"}, {"weight", archiveWeight}}, {{"service", "other"}, {"weight", otherWeight}}};
+        document["routes"].push_back(split);
+        nlohmann::json marker = document["routes"][1];
+        const std::string markerPath = "/one/version" + std::to_string(version) + "/";
+        marker["name"] = "marker";
+        marker["path_prefix"] = markerPath;
+        marker["kind"] = "safe";
+        marker["service"] = "other";
+        document["routes"].push_back(marker);
+        const std::size_t before = other.runs();
+        return installation.putUntilAcknowledged(document) && waitUntil([&] {
+                   installation.announce(other, "ready");
+                   sendRequest(installation, "front1", markerPath, "marker");
+                   return other.runs() > before;
+               });
+    };
+    const auto sendSplitRequest = [&](const std::string &id) { return sendRequest(installation, "front1", "/split/x", id).status; };
+    for (int requests = 1; requests <= 4; ++requests) {
+        cr_assert(apply(100, 300));
+        for (int index = 0; index < requests; ++index) {
+            cr_assert(sendSplitRequest("m" + std::to_string(index)) == 200);
+        }
+        cr_assert(apply(0, 1));
+        const std::size_t before = servers.archive.runs();
+        for (int index = 0; index < 5; ++index) {
+            cr_assert(sendSplitRequest("a" + std::to_string(index)) == 200);
+        }
+        cr_assert(servers.archive.runs() == before);
+    }
+}
+
 // Guards against requests that a stopping front passes on and then cuts without an answer, and against a front that is still
 // there at the end of the grace period. Callers use open connections until the process is gone.
 Test(platform, requests_late_in_the_grace_period_are_answered_or_refused_as_not_run)
