Check the size of a reply after each read from the connection

What callers saw: nothing yet; reported by other operators: a faulty server sent bytes without end, and the process that had called it kept them all.

Cause: Http::async_read_some returns only when the bytes received don't end in an incomplete part of the framing. A server whose chunks carry long extensions can keep it from returning, so the memory of the reply was never counted and no limit applied but that of the body, which grows by a byte a chunk: the front read from it until the request's deadline.

Replies are now read from the socket in parts that are counted one by one. Bytes besides the body, in heads, chunk headers and trailers, have a limit of their own.

Evidence: backend_client.a_reply_without_end_is_dropped_in_every_part_of_the_message with chunk extensions didn't end with the code of before (stopped after 8 s to 10 min); it and endless_framing_takes_little_of_the_shared_memory pass now. Tests of bytes after a whole reply, of cancelled exchanges and of small chunks passed before, too.

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -16,6 +16,10 @@
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
 // Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
 constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
+// Bytes of a reply besides its body: the head, interim replies, chunk headers and trailers. Bodies in small chunks need several
+// bytes for each byte of the body.
+constexpr std::size_t maximumFramingBytes = std::size_t(64) * 1024;
+constexpr std::size_t maximumFramingPerBodyByte = 8;
 
 // The timeout parameter of a Keep-Alive header field.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
@@ -150,6 +154,33 @@
     std::atomic<std::int64_t> newestReplyTime{0};
 };
 
+// Counts the bytes of one reply, interim replies included.
+class BackendClient::ReplyBytes
+{
+public:
+    explicit ReplyBytes(ReplyReservation &replyReservation)
+        : reservation(replyReservation)
+    {
+    }
+
+    void add(std::size_t count)
+    {
+        this->received += count;
+        this->reserved = this->reservation.grow(count);
+    }
+
+    // The limit of the body itself is the parser's.
+    bool withinLimits(std::size_t bodyBytes) const
+    {
+        return this->reserved && this->received <= maximumFramingBytes + (1 + maximumFramingPerBodyByte) * bodyBytes;
+    }
+
+private:
+    ReplyReservation &reservation;
+    std::size_t received = 0;
+    bool reserved = true;
+};
+
 BackendClient::BackendClient(Asio::any_io_executor ioExecutor, BackendClientOptions clientOptions)
     : executor(std::move(ioExecutor))
     , options(clientOptions)
@@ -264,23 +295,61 @@
     server->putIdle(std::move(connection));
 }
 
-// Reads in parts, so that the memory of an endless reply is noticed before the limit of a single one.
+// Doesn't use Http::async_read_some, which goes on reading while the last bytes received are an incomplete part of the framing,
+// so that a server can keep it from returning without end.
 Asio::awaitable<Beast::error_code>
-BackendClient::readReply(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyReservation &reservation)
+BackendClient::readMessage(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes)
 {
-    parser.eager(true);
     while (!parser.is_done()) {
-        auto [error, bytes] = co_await Http::async_read_some(connection->stream, connection->buffer, parser, awaitResult);
-        if (error) {
-            co_return error;
+        Beast::error_code error = Http::error::need_more;
+        if (connection->buffer.size() > 0) {
+            connection->buffer.consume(parser.put(connection->buffer.data(), error));
         }
-        if (!reservation.grow(bytes)) {
+        if (!bytes.withinLimits(parser.get().body().size())) {
             co_return Beast::error_code(Http::error::body_limit);
         }
+        if (error == Http::error::need_more) {
+            error = co_await readMore(connection, parser, bytes);
+        }
+        if (error) {
+            co_return error;
+        }
     }
     co_return Beast::error_code();
 }
 
+Asio::awaitable<Beast::error_code> BackendClient::readMore(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes)
+{
+    const std::size_t size = Beast::read_size(connection->buffer, maximumBufferedBytes);
+    if (size == 0) {
+        co_return Beast::error_code(Http::error::buffer_overflow);
+    }
+    auto [error, received] = co_await connection->stream.async_read_some(connection->buffer.prepare(size), awaitResult);
+    connection->buffer.commit(received);
+    bytes.add(received);
+    if (error == Asio::error::eof) {
+        error = Http::error::end_of_stream;
+        if (parser.got_some()) {
+            error.clear();
+            parser.put_eof(error);
+        }
+    }
+    co_return error;
+}
+
+Asio::awaitable<Beast::error_code> BackendClient::readReply(std::shared_ptr<Connection> connection,
+                                                            const ExchangeRequest &request,
+                                                            std::optional<ReplyParser> &parser,
+                                                            ReplyReservation &reservation)
+{
+    ReplyBytes bytes(reservation);
+    parser.emplace();
+    parser->header_limit(request.maximumReplyHeaderBytes);
+    parser->body_limit(request.maximumReplyBytes);
+    parser->eager(true);
+    co_return co_await readMessage(connection, *parser, bytes);
+}
+
 Asio::awaitable<ExchangeResult> BackendClient::runExchange(std::shared_ptr<Server> server,
                                                            std::shared_ptr<Connection> connection,
                                                            ExchangeRequest request,
@@ -319,12 +388,10 @@
         co_return result;
     }
     ReplyReservation reservation(this->replyMemory);
-    ReplyParser parser;
-    parser.header_limit(request.maximumReplyHeaderBytes);
-    parser.body_limit(request.maximumReplyBytes);
+    std::optional<ReplyParser> parser;
     Beast::error_code readError = writeError;
     if (!readError) {
-        readError = co_await readReply(connection, parser, reservation);
+        readError = co_await readReply(connection, request, parser, reservation);
     }
     const TimePoint now = MonotonicClock::now();
     result.latency = std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt);
@@ -349,9 +416,9 @@
     // A cancel from here on must not close the connection.
     ++connection->exchangeCount;
     result.status = ExchangeStatus::Completed;
-    result.httpStatus = parser.get().result_int();
-    result.headers = copyHeaders(parser.get());
-    result.body = std::move(parser.get().body());
+    result.httpStatus = parser->get().result_int();
+    result.headers = copyHeaders(parser->get());
+    result.body = std::move(parser->get().body());
     if (const auto timeout = parseKeepAliveTimeout(findHeader(result.headers, "Keep-Alive"))) {
         const std::chrono::milliseconds keepAlive = *timeout;
         connection->idleTimeout = std::min<std::chrono::milliseconds>(maximumIdleTime, keepAlive - keepAlive / keepAliveMarginDivisor);
@@ -362,7 +429,7 @@
         server->newestReplyTime = now.time_since_epoch().count();
     }
     // Fresh connections aren't kept: requests that require one never reuse it, so it would occupy a connection of the server.
-    const bool reusable = parser.get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled();
+    const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled();
     if (reusable && !request.freshConnection) {
         server->putIdle(connection);
     } else {
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -118,9 +118,16 @@
                                                 std::shared_ptr<Connection> connection,
                                                 ExchangeRequest request,
                                                 std::shared_ptr<ExchangeHandle> handle);
+    class ReplyBytes;
     using ReplyParser = Http::response_parser<Http::string_body>;
-    static Asio::awaitable<Beast::error_code>
-    readReply(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyReservation &reservation);
+    // Reads one message, in parts, so that an endless one is noticed before it ends at a limit of the parser.
+    static Asio::awaitable<Beast::error_code> readMessage(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes);
+    static Asio::awaitable<Beast::error_code> readMore(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes);
+    // Reads the final reply into the parser and skips interim ones.
+    static Asio::awaitable<Beast::error_code> readReply(std::shared_ptr<Connection> connection,
+                                                        const ExchangeRequest &request,
+                                                        std::optional<ReplyParser> &parser,
+                                                        ReplyReservation &reservation);
 
     static Asio::awaitable<void>
     openIdleConnection(std::shared_ptr<Server> server, std::shared_ptr<Connection> connection, std::string address);
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -234,6 +234,7 @@
         {chunked, "1000\r\n" + filler + "\r\n"},
         {chunked + "4;name=", filler},
         {chunked + "0\r\n", "X-Trailer: " + filler.substr(0, 500) + "\r\n"},
+        {chunked, "1;name=" + filler + "\r\nx\r\n"},
     };
     for (std::size_t index = 0; index < replies.size(); ++index) {
         ClientFixture fixture;
@@ -249,6 +250,90 @@
     }
 }
 
+// Guards against a reply with little content and endless framing taking the memory that the replies of working servers share.
+Test(backend_client, endless_framing_takes_little_of_the_shared_memory)
+{
+    const std::string filler(4096, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &part : {head + "1;name=" + filler + "\r\nx\r\n"}) {
+        ClientFixture fixture;
+        std::future<ExchangeResult> result = fixture.exchange();
+        PlainSocket server = fixture.accept();
+        server.readUntil("question");
+        server.send(part);
+        std::size_t highest = 0;
+        Beast::error_code error;
+        while (!error) {
+            Asio::write(server.socket, Asio::buffer(part.starts_with(head) ? part.substr(head.size()) : part), error);
+            highest = std::max(highest, fixture.client.replyBytes());
+        }
+        cr_assert(result.get().status == ExchangeStatus::TooLarge);
+        cr_assert_leq(highest, std::size_t(256) * 1024);
+    }
+}
+
+// Guards against small chunks, whose framing is larger than their content, being refused as endless.
+Test(backend_client, a_long_reply_in_chunks_of_one_byte_is_completed)
+{
+    constexpr std::size_t length = 200000;
+    ClientFixture fixture;
+    std::future<ExchangeResult> result = fixture.exchange();
+    PlainSocket server = fixture.accept();
+    server.readUntil("question");
+    std::string reply = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t index = 0; index < length; ++index) {
+        reply += "1\r\nx\r\n";
+    }
+    server.send(reply + "0\r\n\r\n");
+    const ExchangeResult exchange = result.get();
+    cr_assert(exchange.status == ExchangeStatus::Completed && exchange.body == std::string(length, 'x'));
+}
+
+// Guards against bytes after a whole reply being kept in memory or read as the reply to the next request.
+Test(backend_client, bytes_without_end_after_a_whole_reply_are_dropped_with_the_connection)
+{
+    ClientFixture fixture;
+    std::future<ExchangeResult> first = fixture.exchange();
+    PlainSocket server = fixture.accept();
+    server.readUntil("question");
+    server.send(keepAliveReply);
+    cr_assert(first.get().status == ExchangeStatus::Completed);
+    std::jthread sender([&server] { sendWithoutEnd(server, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"); });
+    std::this_thread::sleep_for(100ms);
+    cr_assert_eq(fixture.client.replyBytes(), 0);
+    std::future<ExchangeResult> second = fixture.exchange();
+    PlainSocket other = fixture.accept();
+    other.readUntil("question");
+    other.send(keepAliveReply);
+    const ExchangeResult exchange = second.get();
+    cr_assert(exchange.status == ExchangeStatus::Completed && exchange.connected && exchange.body == "ok");
+}
+
+// Guards against an endless reply being read on although nobody waits for it any more.
+Test(backend_client, a_cancelled_exchange_stops_reading_an_endless_reply)
+{
+    ClientFixture fixture;
+    std::future<ExchangeResult> result = fixture.exchange();
+    PlainSocket server = fixture.accept();
+    server.readUntil("question");
+    server.send("HTTP/1.1 200 OK\r\n\r\n");
+    std::atomic<bool> ended{false};
+    std::jthread sender([&] {
+        Beast::error_code error;
+        while (!error) {
+            Asio::write(server.socket, Asio::buffer(std::string(64, 'x')), error);
+            std::this_thread::sleep_for(1ms);
+        }
+        ended = true;
+    });
+    std::this_thread::sleep_for(50ms);
+    cr_assert(!ended);
+    fixture.handle->cancel();
+    cr_assert(result.get().status == ExchangeStatus::Cancelled);
+    sender.join();
+    cr_assert_eq(fixture.client.replyBytes(), 0);
+}
+
 // Guards against many servers whose replies never end taking the memory of the process, each below the limit of one reply,
 // and against dropping the replies of working servers instead.
 Test(backend_client, the_memory_of_all_replies_together_is_bounded)
@@ -269,13 +354,15 @@
     std::vector<std::jthread> servers;
     std::atomic<std::size_t> highest{0};
     for (int index = 0; index < 8; ++index) {
+        const bool chunked = index % 2 == 0;
         endless.push_back(exchange());
-        servers.emplace_back([&client, &highest, socket = std::make_shared<PlainSocket>(fixture.accept())] {
+        servers.emplace_back([&, chunked, socket = std::make_shared<PlainSocket>(fixture.accept())] {
+            const std::string part = chunked ? "4000\r\n" + std::string(16384, 'x') + "\r\n" : std::string(16384, 'x');
             socket->readUntil("question");
-            socket->send("HTTP/1.1 200 OK\r\n\r\n");
+            socket->send(chunked ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" : "HTTP/1.1 200 OK\r\n\r\n");
             Beast::error_code error;
             while (!error) {
-                Asio::write(socket->socket, Asio::buffer(std::string(16384, 'x')), error);
+                Asio::write(socket->socket, Asio::buffer(part), error);
                 highest = std::max(highest.load(), client.replyBytes());
             }
         });
