Skip interim replies of backend servers

What callers saw: nothing yet; found by the tests of endless replies. A server that sends 100 Continue or 103 Early Hints before its reply got its reply rejected, and the request was sent again. The connection could be kept, with the reply to the earlier request still to come.

Cause: an interim reply (1xx) was taken for the reply.

Interim replies are now read and dropped, within the limit of bytes besides the body, so that a server that sends nothing else ends there.

Evidence: backend_client.a_reply_after_interim_replies_is_the_reply fails with the code of before (exchange.httpStatus == 200 is false).

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -34,6 +34,13 @@
     return std::chrono::seconds(seconds);
 }
 
+// Precedes the final reply to the same request. A change of the protocol (101) was not asked for, so it isn't one.
+bool isInterim(unsigned status)
+{
+    constexpr unsigned switchingProtocols = 101;
+    return status >= 100 && status < 200 && status != switchingProtocols;
+}
+
 bool exceedsLimit(const Beast::error_code &error)
 {
     return error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow;
@@ -343,11 +350,17 @@
                                                             ReplyReservation &reservation)
 {
     ReplyBytes bytes(reservation);
-    parser.emplace();
-    parser->header_limit(request.maximumReplyHeaderBytes);
-    parser->body_limit(request.maximumReplyBytes);
-    parser->eager(true);
-    co_return co_await readMessage(connection, *parser, bytes);
+    do {
+        parser.emplace();
+        parser->header_limit(request.maximumReplyHeaderBytes);
+        parser->body_limit(request.maximumReplyBytes);
+        parser->eager(true);
+        const Beast::error_code error = co_await readMessage(connection, *parser, bytes);
+        if (error) {
+            co_return error;
+        }
+    } while (isInterim(parser->get().result_int()));
+    co_return Beast::error_code();
 }
 
 Asio::awaitable<ExchangeResult> BackendClient::runExchange(std::shared_ptr<Server> server,
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -234,6 +234,7 @@
         {chunked, "1000\r\n" + filler + "\r\n"},
         {chunked + "4;name=", filler},
         {chunked + "0\r\n", "X-Trailer: " + filler.substr(0, 500) + "\r\n"},
+        {"", "HTTP/1.1 102 Processing\r\n\r\n"},
         {chunked, "1;name=" + filler + "\r\nx\r\n"},
     };
     for (std::size_t index = 0; index < replies.size(); ++index) {
@@ -250,12 +251,32 @@
     }
 }
 
+// Guards against an interim reply being taken for the reply, whose bytes would then belong to the next request.
+Test(backend_client, a_reply_after_interim_replies_is_the_reply)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    for (const bool together : {true, false}) {
+        ClientFixture fixture;
+        std::future<ExchangeResult> result = fixture.exchange();
+        PlainSocket server = fixture.accept();
+        server.readUntil("question");
+        server.send(together ? interim + keepAliveReply : interim);
+        if (!together) {
+            cr_assert(result.wait_for(100ms) == std::future_status::timeout);
+            server.send(keepAliveReply);
+        }
+        const ExchangeResult exchange = result.get();
+        cr_assert(exchange.status == ExchangeStatus::Completed && exchange.httpStatus == 200 && exchange.body == "ok");
+        cr_assert_eq(fixture.client.idleConnections(), 1);
+    }
+}
+
 // Guards against a reply with little content and endless framing taking the memory that the replies of working servers share.
 Test(backend_client, endless_framing_takes_little_of_the_shared_memory)
 {
     const std::string filler(4096, 'x');
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    for (const std::string &part : {head + "1;name=" + filler + "\r\nx\r\n"}) {
+    for (const std::string &part : {std::string("HTTP/1.1 102 Processing\r\n\r\n"), head + "1;name=" + filler + "\r\nx\r\n"}) {
         ClientFixture fixture;
         std::future<ExchangeResult> result = fixture.exchange();
         PlainSocket server = fixture.accept();
