Test that endless replies of many servers leave other callers served

Plays 20 faulty servers, whose replies never end in the status line, a header field, a body of no length and a chunk, against one front with 100 callers, while other callers' requests go on. Checks that those are served, that no process ends, and that the front's peak memory stays below the 260 MB of an instance.

--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -1,5 +1,7 @@
 #include "process/platform/platforminstallation.h"
 
+#include "galenawell/core/endpoint.h"
+
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
@@ -219,6 +221,56 @@
     co_return response;
 }
 
+EndlessServer::EndlessServer(std::string replyHead)
+    : head(std::move(replyHead))
+{
+    Asio::co_spawn(
+        this->ioThread.context, [this] { return this->acceptLoop(); }, Asio::detached);
+}
+
+EndlessServer::~EndlessServer()
+{
+    this->ioThread.stop();
+}
+
+std::string EndlessServer::address() const
+{
+    return toString(this->acceptor.local_endpoint());
+}
+
+std::size_t EndlessServer::accepted() const
+{
+    return this->acceptedCount;
+}
+
+Asio::awaitable<void> EndlessServer::acceptLoop()
+{
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(awaitResult);
+        if (error) {
+            co_return;
+        }
+        ++this->acceptedCount;
+        Asio::co_spawn(
+            this->ioThread.context,
+            [this, shared = std::make_shared<Tcp::socket>(std::move(socket))] { return this->serve(shared); },
+            Asio::detached);
+    }
+}
+
+Asio::awaitable<void> EndlessServer::serve(std::shared_ptr<Tcp::socket> socket)
+{
+    std::string request(1024, '\0');
+    auto [readError, received] = co_await socket->async_read_some(Asio::buffer(request), awaitResult);
+    auto [headError, headBytes] = co_await Asio::async_write(*socket, Asio::buffer(this->head), awaitResult);
+    const std::string part(std::size_t(16) * 1024, 'x');
+    bool open = !readError && !headError;
+    while (open) {
+        auto [error, sent] = co_await Asio::async_write(*socket, Asio::buffer(part), awaitResult);
+        open = !error;
+    }
+}
+
 // ---- Processes
 
 PlatformInstallation::PlatformInstallation(std::size_t controlCount, std::size_t frontCount)
@@ -370,6 +422,19 @@
     });
 }
 
+std::size_t PlatformInstallation::peakMemoryBytes(const std::string &name) const
+{
+    constexpr std::size_t kibibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(this->findNode(name).process) + "/status");
+    for (std::string key; status >> key;) {
+        std::size_t kibibytes = 0;
+        if (key == "VmHWM:" && status >> kibibytes) {
+            return kibibytes * kibibyte;
+        }
+    }
+    return 0;
+}
+
 void PlatformInstallation::deleteDataFolder(const std::string &name)
 {
     std::filesystem::remove_all(this->folder / name);
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -108,6 +108,26 @@
     std::shared_ptr<HttpServer> server;
 };
 
+// Accepts connections, reads the start of a request on each and sends a reply that never ends.
+class EndlessServer
+{
+public:
+    explicit EndlessServer(std::string replyHead);
+    ~EndlessServer();
+
+    std::string address() const;
+    std::size_t accepted() const;
+
+private:
+    Asio::awaitable<void> acceptLoop();
+    Asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket);
+
+    std::string head;
+    std::atomic<std::size_t> acceptedCount{0};
+    IoThread ioThread;
+    Tcp::acceptor acceptor{this->ioThread.context, anyPort()};
+};
+
 class PlatformInstallation
 {
 public:
@@ -125,6 +145,8 @@
     // Sends the signal and waits for the process to end; false after the timeout.
     bool stop(const std::string &name, int signal, std::chrono::milliseconds timeout = std::chrono::seconds(10));
     void deleteDataFolder(const std::string &name);
+    // Highest resident memory of a running process so far; 0 if it can't be read.
+    std::size_t peakMemoryBytes(const std::string &name) const;
     void setFoundInstallation(bool mayFound);
 
     std::vector<std::string> controlNames() const;
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -436,6 +436,62 @@
     cr_assert(waitUntil([&] { return sendRequest(installation, "front1", "/one/x", "after").status == 200; }, 5000ms));
 }
 
+// Guards against faulty servers whose replies never end taking the memory of a front, and with it the requests of other callers.
+Test(platform, endless_replies_of_many_servers_leave_other_callers_served)
+{
+    constexpr std::size_t serverCount = 20;
+    constexpr int callerCount = 100;
+    // The memory of an instance of the platform.
+    constexpr std::size_t memoryLimit = std::size_t(260) * 1000 * 1000;
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    std::vector<std::unique_ptr<EndlessServer>> endless;
+    std::vector<std::unique_ptr<ServerStandIn>> announced;
+    const std::vector<std::string> heads{
+        "", "HTTP/1.1 200 OK\r\nX-Header: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n"};
+    for (std::size_t index = 0; index < serverCount; ++index) {
+        endless.push_back(std::make_unique<EndlessServer>(heads[index % heads.size()]));
+        announced.push_back(std::make_unique<ServerStandIn>("endless", "i-endless" + std::to_string(index), "z1"));
+        announced.back()->setAnnouncedAddress(endless.back()->address());
+    }
+    nlohmann::json document = configuration(7, twoShards, 4000);
+    document["services"].push_back({{"name", "endless"}, {"connection_limit", 1000}});
+    nlohmann::json route = document["routes"][1];
+    route["name"] = "endless";
+    route["path_prefix"] = "/endless/";
+    route["kind"] = "safe";
+    route["service"] = "endless";
+    document["routes"].push_back(route);
+    cr_assert(installation.putUntilAcknowledged(document));
+    cr_assert(waitUntil([&] {
+        return std::ranges::all_of(announced, [&](const auto &server) { return installation.announce(*server, "ready"); })
+            && allFrontsServe(installation);
+    }));
+    std::atomic<int> answered{0};
+    std::vector<std::jthread> callers;
+    for (int index = 0; index < callerCount; ++index) {
+        callers.emplace_back([&, index] {
+            answered += sendRequest(installation, "front1", "/endless/x", "e" + std::to_string(index)).status == 200 ? 1 : 0;
+        });
+    }
+    for (int index = 0; index < 20; ++index) {
+        const std::string id = std::to_string(index);
+        cr_assert(sendRequest(installation, "front1", "/wide/x", "w" + id).status == 200);
+        cr_assert(sendRequest(installation, "front1", "/one/x", "o" + id).status == 200);
+    }
+    callers.clear();
+    std::size_t reached = 0;
+    for (const auto &server : endless) {
+        reached += server->accepted() > 0 ? 1 : 0;
+    }
+    cr_assert_gt(reached, serverCount / 2);
+    cr_assert_eq(answered.load(), 0);
+    cr_assert(!installation.hasUnexpectedExit());
+    const std::size_t peak = installation.peakMemoryBytes("front1");
+    cr_assert(peak > 0 && peak < memoryLimit, "%zu bytes", peak);
+}
+
 // Guards against a split of requests that is decided with the weights of an older configuration.
 Test(platform, a_service_whose_weight_falls_to_zero_gets_no_more_requests)
 {
