--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -90,6 +90,19 @@
     cr_assert(!decodeReply(429, {own, proof}).forwardable);
 }
 
+// Guards against the late refusal of an earlier request being taken for that of the current one, which would then run twice.
+Test(requestheaders, the_refusal_of_another_request_does_not_mean_that_this_one_has_not_run)
+{
+    for (const unsigned status : {421U, 429U, 503U}) {
+        const ServerReply other = decodeReply(status, {{"Attempt-Id", "id0"}, {"Not-Executed", "1"}, {"Retry-After", "2"}});
+        cr_assert(other.failure == RetryReason::InvalidReply);
+        cr_assert(!other.forwardable);
+        const ServerReply own = decodeReply(status, {{"Attempt-Id", "id1"}, {"Not-Executed", "1"}});
+        cr_assert(own.failure == (status == 421 ? RetryReason::WrongServer : RetryReason::Overloaded));
+    }
+    cr_assert(decodeReply(503, {{"Not-Executed", "1"}}).failure == RetryReason::Overloaded);
+}
+
 // Guards against misreading the load report, whose fields are running, waiting and slots.
 Test(requestheaders, only_a_complete_load_report_is_read)
 {
