--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -274,7 +274,7 @@
 class Replica
 {
 public:
-    // What the replica does with a request that it runs; the default answers with success.
+    // What the replica does with a request; false ends the connection. The default runs it and answers with success.
     using Run = std::function<bool(Replica &, Connection &, const Message &)>;
 
     Replica(Record &sharedRecord, std::string serviceName, std::string identifier, std::string listenIp, unsigned short listenPort)
@@ -434,10 +434,10 @@
             return connection.write("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + id
                                     + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
         }
-        this->countRun();
         if (this->run) {
             return this->run(*this, connection, request);
         }
+        this->countRun();
         this->record.add("replica " + this->name + " runs " + id);
         return connection.write(this->success(id, std::string(32, 'r')));
     }
