--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint64_t diskLosses = 7;
 // recovery_s of the site is 12.
 constexpr Milliseconds recoveryTime{12000};
-constexpr int reads = 40;
+constexpr int reads = 20;
 
 // True if a control process says that it leads.
 bool leads(Platform &platform, const std::string &control)
