--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,19 +1,22 @@
-// Another writer pings once for the address of each replica, under a service that no manifest names. Its entries name no replica
-// to use; the replicas, which go on pinging, hold.
+// An operator sends a manifest whose routes and services are null. It must be refused as invalid.
 #include "../standin/standin.h"
 
 using namespace Review;
 
 namespace {
 
-constexpr std::size_t replicaCount = 3;
-constexpr int requests = 160;
+constexpr int requestsPerFront = 10;
 
-std::string foreignPing(const Replica &replica, std::int64_t born)
+// Number of requests that the fronts answered with 404.
+int countNotFound(Platform &platform, Record &record)
 {
-    return R"({"service":"retired-shelf","address":")" + replica.address()
-        + R"(","zone":"zone-1","version":"v1","slots":5,"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":)"
-        + std::to_string(born) + "}";
+    int notFound = 0;
+    for (const std::string &front : platform.names(true)) {
+        for (int index = 0; index < requestsPerFront; ++index) {
+            notFound += send(platform, record, front, {.path = "/packs/annual"}).status() == 404 ? 1 : 0;
+        }
+    }
+    return notFound;
 }
 
 } // namespace
@@ -23,37 +26,35 @@
     Record record(arguments[1]);
     Platform platform(record, 3, 2);
     platform.startAll();
-    if (!platform.putManifest(manifest(1, {{.name = "r-packs", .prefix = "/packs/", .target = R"("service":"archive")"}}, {"archive"}))
-        || !platform.waitUntilReady()) {
+    const std::string valid = manifest(5, {{.name = "r-packs", .prefix = "/packs/", .target = R"("service":"archive")"}}, {"archive"});
+    if (!platform.putManifest(valid) || !platform.waitUntilReady()) {
         return couldNotRun;
     }
-    std::vector<std::unique_ptr<Replica>> replicas;
+    Replica replica(record, "archive", "i-1", platform.freeIp(1), platform.replicaPort());
     Heartbeats heartbeats(platform, record);
-    for (std::size_t index = 0; index < replicaCount; ++index) {
-        replicas.push_back(
-            std::make_unique<Replica>(record, "archive", "i-" + std::to_string(index), platform.freeIp(index), platform.replicaPort()));
-        heartbeats.start(*replicas.back(), 1 + index % 2);
+    heartbeats.start(replica, 0);
+    sleepFor(Milliseconds(1000));
+    if (countNotFound(platform, record) > 0 || replica.runs() == 0) {
+        return couldNotRun;
     }
-    sleepFor(Milliseconds(1500));
 
+    unsigned status = 0;
     if (withTrouble()) {
-        const std::int64_t born = unixMilliseconds();
-        for (const std::unique_ptr<Replica> &replica : replicas) {
-            const Message answer
-                = platform.control("control-1", "PUT", "/v1/instances/other-" + replica->id(), foreignPing(*replica, born));
-            record.add("the other writer pings for " + replica->address() + ": " + std::to_string(answer.status()));
-        }
-    }
-    sleepFor(Milliseconds(1500));
-    int served = 0;
-    for (int index = 0; index < requests; ++index) {
-        const std::string front = "front-" + std::to_string(1 + index % 2);
-        served += send(platform, record, front, {.path = "/packs/annual"}).status() == 200 ? 1 : 0;
-        sleepFor(Milliseconds(250));
+        const std::string invalid
+            = R"({"version":6,"routes":null,"services":null,"limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+              R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+        status = platform.control("control-1", "PUT", "/v1/configuration", invalid).status();
+        record.add("operator: the manifest without routes gets " + std::to_string(status));
     }
-    record.add(std::to_string(served) + " of " + std::to_string(requests) + " requests were served");
+    sleepFor(configurationApplyTime + Milliseconds(500));
+    const int notFound = countNotFound(platform, record);
+    const Message readBack = platform.control("control-2", "GET", "/v1/configuration");
+    record.add("operator reads back " + std::to_string(readBack.status()) + " " + readBack.body.substr(0, 60));
+    record.add(std::to_string(notFound) + " requests of a route of the valid manifest got 404");
+    const bool acknowledged = status >= 200 && status < 300;
+    const bool inForce = readBack.status() == 200 && readBack.body != valid;
     if (platform.endedByItself()) {
         return couldNotRun;
     }
-    return served == 0 ? ruleBroken : ruleHeld;
+    return acknowledged || inForce ? ruleBroken : ruleHeld;
 }
