Count the silence of a member from when the leader lists it

Cause: ControlMember::adjustVoters() took the time since the last message of a member that had sent none yet for the time since the leadership began. A leader of 15 s or more therefore removed each learner at once as one that had been silent for 15 s, about twice a second, and the lost identity stayed a voter. The next loss of a disk left one voter of three.

Change: VoterManager measures silences from the observation that first lists a member as it is now, anew in each term, and counts a gap between two observations as 0.5 s at most, since a leader that was paused learned nothing. The lost identity of an instance is removed once its new one has sent a message, before any other step. Both are decisions without a clock, and the simulation of the log now drives them. The status of the log gives times instead of ages.

The test a_new_identity_of_an_instance_replaces_the_old_one now states which identity was heard: the plan needs that evidence, so that a late request of a lost identity to join can't displace the one that runs.

Also: a control process that never replied no longer counts as one that replied at time 0 (ControlSubscriptions).

--- a/src/galenawell/consensus/voterplan.cpp
+++ b/src/galenawell/consensus/voterplan.cpp
@@ -28,11 +28,23 @@
     return found == progress.end() ? MemberProgress{} : found->second;
 }
 
-// Another member at the learner's instance: the instance lost its disk, so that identity never returns.
-const Member *earlierIdentityOf(const Membership &membership, const Member &learner)
+// A member whose instance runs under another identity now: that instance lost its disk, so this identity never returns.
+const Member *supersededMember(const Membership &membership, const std::map<MemberId, MemberProgress> &progress, MemberId leader)
 {
-    const auto found = std::ranges::find_if(
-        membership.members, [&learner](const Member &member) { return member.instance == learner.instance && member.id != learner.id; });
+    const auto supersedes = [&](const Member &other, const Member &member) {
+        if (other.instance != member.instance || other.id == member.id || member.id == leader) {
+            return false;
+        }
+        const MemberProgress own = progressOf(progress, member.id);
+        const MemberProgress others = progressOf(progress, other.id);
+        const bool otherRuns = other.id == leader || others.heard;
+        return otherRuns && (!own.heard || others.timeSinceLastReply < own.timeSinceLastReply);
+    };
+    const std::size_t voters = voterCount(membership);
+    const auto found = std::ranges::find_if(membership.members, [&](const Member &member) {
+        const bool removable = !member.voter || voters > 1;
+        return removable && std::ranges::any_of(membership.members, [&](const Member &other) { return supersedes(other, member); });
+    });
     return found == membership.members.end() ? nullptr : &*found;
 }
 
@@ -56,15 +68,16 @@
 std::optional<Membership>
 nextVoterStep(const Membership &membership, const std::map<MemberId, MemberProgress> &progress, const VoterPlanOptions &options)
 {
+    // First, because a lost identity that still counts as a voter leaves less of the majority for the next loss.
+    if (const Member *lost = supersededMember(membership, progress, options.leader); lost != nullptr) {
+        return withoutMember(membership, lost->id);
+    }
     const std::size_t voters = voterCount(membership);
     for (const Member &member : membership.members) {
         const MemberProgress memberProgress = progressOf(progress, member.id);
         if (member.voter || !memberProgress.caughtUp || memberProgress.timeSinceLastReply >= options.replaceVoterAfter) {
             continue;
         }
-        if (const Member *earlier = earlierIdentityOf(membership, member); earlier != nullptr && voters > 1) {
-            return withoutMember(membership, earlier->id);
-        }
         if (voters < options.targetVoterCount) {
             return withPromoted(membership, member.id);
         }
--- a/src/galenawell/consensus/voterplan.h
+++ b/src/galenawell/consensus/voterplan.h
@@ -25,6 +25,9 @@
 struct MemberProgress
 {
     bool caughtUp = false;
+    // Whether the member has sent a message since it and all other members of its instance were listed. Until then nothing
+    // shows that the instance runs under this identity.
+    bool heard = false;
     std::chrono::milliseconds timeSinceLastReply{0};
 };
 
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -2,7 +2,6 @@
 
 #include "galenawell/consensus/membershipplan.h"
 #include "galenawell/consensus/raftcodec.h"
-#include "galenawell/consensus/voterplan.h"
 #include "galenawell/core/endpoint.h"
 #include "galenawell/core/incarnation.h"
 #include "galenawell/front/registrycodec.h"
@@ -89,6 +88,7 @@
 {
 }
 
+    , voterManager(VoterManagerOptions{.targetVoterCount = 2 * this->settings.toleratedLosses + 1})
 Status ControlMember::start()
 {
     BOOST_OUTCOME_TRY(LogStorage storage,
@@ -295,7 +295,6 @@
         this->logImpairedServers(now);
         if (leading != this->isLeader()) {
             leading = this->isLeader();
-            this->leaderSince = now;
             logger.info(std::string(leading ? "leads" : "no longer leads") + " the log in term " + std::to_string(this->logStatus.term));
         }
         this->metrics->set(GaugeName::IsLeader, leading ? 1 : 0);
@@ -393,18 +392,13 @@
 
 Asio::awaitable<void> ControlMember::adjustVoters()
 {
-    // Followers don't exchange messages, so the time since the last message counts from the start of this leadership.
-    const std::chrono::milliseconds sinceStart = toMilliseconds(MonotonicClock::now() - this->leaderSince);
-    std::map<MemberId, MemberProgress> progress;
-    for (const Member &member : this->logStatus.membership.members) {
-        const auto found = this->logStatus.timeSinceLastMessage.find(member.id);
-        const std::chrono::milliseconds timeSinceLastMessage
-            = found == this->logStatus.timeSinceLastMessage.end() ? sinceStart : std::min(found->second, sinceStart);
-        progress[member.id] = MemberProgress{.caughtUp = this->logStatus.matchIndexes.at(member.id) >= this->logStatus.commitIndex,
-                                             .timeSinceLastReply = timeSinceLastMessage};
-    }
-    const VoterPlanOptions options{.leader = this->logStatus.identity, .targetVoterCount = 2 * this->settings.toleratedLosses + 1};
-    std::optional<Membership> next = nextVoterStep(this->logStatus.membership, progress, options);
+    std::optional<Membership> next = this->voterManager.nextStep(LeaderObservation{.leader = this->logStatus.identity,
+                                                                                   .term = this->logStatus.term,
+                                                                                   .commitIndex = this->logStatus.commitIndex,
+                                                                                   .membership = this->logStatus.membership,
+                                                                                   .matchIndexes = this->logStatus.matchIndexes,
+                                                                                   .lastMessageAt = this->logStatus.lastMessageAt},
+                                                                 MonotonicClock::now());
     if (!next) {
         co_return;
     }
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -4,6 +4,7 @@
 
 #include "galenawell/consensus/bootstrap.h"
 #include "galenawell/control/frontdirectory.h"
+#include "galenawell/consensus/votermanager.h"
 #include "galenawell/control/recoveryfile.h"
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/control/viewpatch.h"
@@ -143,7 +144,8 @@
     std::vector<MemberId> listedMembers;
     // Timers of the coroutines in waitForChange; notifyChange cancels them.
     std::set<Asio::steady_timer *> waitingTimers;
-    TimePoint leaderSince;
+    // Observes the members while this process leads.
+    VoterManager voterManager;
     bool adjustingVoters = false;
     bool storageAvailable = true;
     bool refreshRequested = false;
--- a/src/galenawell/control/replicatedlog.cpp
+++ b/src/galenawell/control/replicatedlog.cpp
@@ -494,7 +494,7 @@
         for (const Member &member : status.membership.members) {
             status.matchIndexes[member.id] = self->node->matchIndex(member.id);
             if (const auto found = self->lastMessageAt.find(member.id); found != self->lastMessageAt.end()) {
-                status.timeSinceLastMessage[member.id] = toMilliseconds(MonotonicClock::now() - found->second);
+                status.lastMessageAt[member.id] = found->second;
             }
         }
         status.bytesOnDisk = self->storage->bytesOnDisk();
--- a/src/galenawell/control/replicatedlog.h
+++ b/src/galenawell/control/replicatedlog.h
@@ -55,7 +55,7 @@
     Membership membership;
     std::map<MemberId, LogIndex> matchIndexes;
     // Absent for members from which this process has received no message.
-    std::map<MemberId, std::chrono::milliseconds> timeSinceLastMessage;
+    std::map<MemberId, TimePoint> lastMessageAt;
     std::size_t bytesOnDisk = 0;
     bool storageFull = false;
     // False while output waits for disk space, or the storage must be opened again after a failed write or sync. The member
--- a/src/galenawell/membership/controlsubscriptions.cpp
+++ b/src/galenawell/membership/controlsubscriptions.cpp
@@ -184,7 +184,7 @@
 {
     std::vector<InstanceName> names;
     for (const auto &[name, control] : this->controls) {
-        if (now - control.lastReplyAt <= age) {
+        if (control.lastReplyAt != TimePoint() && now - control.lastReplyAt <= age) {
             names.push_back(name);
         }
     }
--- a/tests/fault/consensus/raftcluster.cpp
+++ b/tests/fault/consensus/raftcluster.cpp
@@ -13,7 +13,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto tickInterval = 10ms;
+constexpr auto voterManagementInterval = 150ms;
+// A process that was removed learns it from the leader's next list of members.
+constexpr auto joinInterval = 500ms;
 
 std::string serialise(const std::map<LogIndex, std::string> &applied)
 {
@@ -171,6 +173,10 @@
     raftOptions.maximumBytesPerMessage = 256;
     raftOptions.retainedBytes = 512;
     raftOptions.rules = this->options.rules;
+    instance.lastMessageAt.clear();
+    if (this->options.voterManager) {
+        instance.voterManager.emplace(*this->options.voterManager);
+    }
     instance.node = std::make_unique<RaftNode>(raftOptions, std::move(restored), this->random.next(), this->now);
 }
 
@@ -276,7 +282,7 @@
 
 void RaftCluster::step()
 {
-    this->now += tickInterval;
+    this->now += this->options.tick;
     while (!this->scheduledActions.empty() && this->scheduledActions.begin()->first <= this->now) {
         const std::function<void()> action = std::move(this->scheduledActions.begin()->second);
         this->scheduledActions.erase(this->scheduledActions.begin());
@@ -288,6 +294,7 @@
             continue;
         }
         for (const RaftMessage &message : std::exchange(instance.inbox, {})) {
+            instance.lastMessageAt[message.from] = this->now;
             instance.node->receive(message, this->now);
         }
         instance.node->tick(this->now);
@@ -324,7 +331,8 @@
     const unsigned copies = this->chance(this->duplicateProbability) ? 2 : 1;
     for (unsigned copy = 0; copy < copies; ++copy) {
         const bool late = copy > 0 || this->chance(this->reorderProbability);
-        const auto delay = late ? std::chrono::milliseconds(this->random.below(400)) : std::chrono::milliseconds(this->random.below(10));
+        const auto delay = late ? std::chrono::milliseconds(this->random.below(400))
+                                : std::chrono::milliseconds(this->random.below(static_cast<std::size_t>(this->options.tick.count())));
         const TimePoint arrival = this->now + delay;
         this->network.emplace(arrival, InFlight{.from = instance.name, .to = owner->second, .message = message});
     }
@@ -395,6 +403,10 @@
                                   + std::to_string(this->reads.at(token).required) + " was acknowledged");
         }
     }
+    if (!output.committed.empty()) {
+        // A control process looks at its members again after each change.
+        instance.managesVotersAt = this->now;
+    }
     const LogIndex stored = instance.disk.content.snapshot ? instance.disk.content.snapshot->index : 0;
     if (instance.appliedIndex >= stored + this->options.snapshotEvery) {
         this->forceSnapshot(instance.name);
@@ -461,6 +473,10 @@
     if (!this->membershipChangesEnabled || instance.node->role() != RaftRole::Leader) {
         return;
     }
+    if (instance.voterManager) {
+        this->manageVoters(instance);
+        return;
+    }
     const Membership membership = instance.node->membership();
     for (const Member &member : membership.members) {
         if (this->retired.contains(member.instance)) {
@@ -484,6 +500,42 @@
     }
 }
 
+void RaftCluster::manageVoters(Instance &instance)
+{
+    if (this->now < instance.managesVotersAt) {
+        return;
+    }
+    instance.managesVotersAt = this->now + voterManagementInterval;
+    LeaderObservation observation{.leader = instance.disk.identity,
+                                  .term = instance.node->term(),
+                                  .commitIndex = instance.node->commitIndex(),
+                                  .membership = instance.node->membership(),
+                                  .matchIndexes = {},
+                                  .lastMessageAt = instance.lastMessageAt};
+    for (const Member &member : observation.membership.members) {
+        observation.matchIndexes[member.id] = instance.node->matchIndex(member.id);
+    }
+    if (const std::optional<Membership> next = instance.voterManager->nextStep(observation, this->now)) {
+        (void)instance.node->proposeMembership(*next, this->now);
+    }
+    this->addUnlisted(instance);
+}
+
+// Adds each running instance that the leader doesn't list, as if it had just asked to join.
+void RaftCluster::addUnlisted(Instance &leader)
+{
+    Membership membership = leader.node->membership();
+    for (auto &[name, other] : this->instances) {
+        const bool asks = other.node && !other.frozen && this->now >= other.joinsAt && !this->cutLinks.contains({name, leader.name});
+        if (asks && findMember(membership, other.disk.identity) == nullptr) {
+            other.joinsAt = this->now + joinInterval;
+            membership.members.push_back(Member{.id = other.disk.identity, .instance = name, .voter = false});
+            (void)leader.node->proposeMembership(membership, this->now);
+            return;
+        }
+    }
+}
+
 void RaftCluster::checkLeaders()
 {
     for (const auto &[name, instance] : this->instances) {
--- a/tests/fault/consensus/raftcluster.h
+++ b/tests/fault/consensus/raftcluster.h
@@ -3,11 +3,13 @@
 
 #include "galenawell/consensus/logstorage.h"
 #include "galenawell/consensus/raftnode.h"
+#include "galenawell/consensus/votermanager.h"
 #include "galenawell/core/randomsource.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -32,11 +34,15 @@
     std::size_t voters = 3;
     std::uint64_t seed = 1;
     LogIndex snapshotEvery = 20;
+    // Step of the clock; messages take at most this long.
+    std::chrono::milliseconds tick{10};
     // Deliberately faulty drivers, which show that the invariants detect the fault.
     bool sendsBeforeStoring = false;
     bool keepsIdentityOfLostDisk = false;
     bool acknowledgesAtPropose = false;
     RaftProtocolRules rules{};
+    // If set, instances join as learners and leaders change the membership as control processes do.
+    std::optional<VoterManagerOptions> voterManager{};
     // Real files instead of memory if set.
     std::string folder{};
 };
@@ -53,6 +59,11 @@
     std::map<LogIndex, std::string> applied;
     LogIndex appliedIndex = 0;
     std::vector<RaftMessage> inbox;
+    // Empty without ClusterOptions::voterManager.
+    std::optional<VoterManager> voterManager;
+    std::map<MemberId, TimePoint> lastMessageAt;
+    TimePoint managesVotersAt;
+    TimePoint joinsAt;
 };
 
 class RaftCluster
@@ -125,6 +136,8 @@
     void send(Instance &instance, const RaftMessage &message);
     void deliver();
     void changeMembership(Instance &instance);
+    void manageVoters(Instance &instance);
+    void addUnlisted(Instance &leader);
     void checkLeaders();
     void recordViolation(const std::string &what);
     bool chance(double probability);
--- a/tests/unit/consensus/test_voterplan.cpp
+++ b/tests/unit/consensus/test_voterplan.cpp
@@ -25,7 +25,7 @@
 {
     Progress progress;
     for (const Member &member : membership.members) {
-        progress[member.id] = {.caughtUp = true, .timeSinceLastReply = 100ms};
+        progress[member.id] = {.caughtUp = true, .heard = true, .timeSinceLastReply = 100ms};
     }
     return progress;
 }
@@ -70,7 +70,9 @@
 {
     Membership membership = membersOf(3, 1);
     membership.members[3].instance = "i3";
-    const auto removed = nextVoterStep(membership, allFresh(membership), threeVoters);
+    Progress progress = allFresh(membership);
+    progress[3].heard = false;
+    const auto removed = nextVoterStep(membership, progress, threeVoters);
     cr_assert(removed.has_value() && findMember(*removed, 3) == nullptr && findMember(*removed, 4) != nullptr);
 }
 
