Give a routed request that has crashed servers one attempt

Cause: routed requests kept no evidence of contents that crash servers, so a lost connection was retried like any other failure.

Change: CrashWatch at each front keeps lost connections by content and service; one counts as evidence only if its server then ended (refuses connections, answers as another server, is registered with a later run or not at all), and a later reply or a success of the content withdraws it. Control processes combine the evidence of all fronts (SuspectContents) and return the list of contents with two pieces of it, at once and also to fronts that start. Scatter sends a suspect request to one server of each suspect group, without retries and hedges, and doesn't refuse it.

Why it works: the third crash gives the second piece of evidence at the latest, and the list reaches the fronts by the subscriptions that already carry impaired servers.

The digest function is shared with the JSON interface.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -35,10 +35,24 @@
     3: required bool removed
 }
 
+// A backend server that has announced its shutdown.
+struct RetiredServerMessage {
+    1: required string serviceName
+    2: required string group
+    3: required string address
+    4: required string identity
+    5: required i64 incarnation
+    6: required i32 state
+    // How much longer the sender keeps the entry.
+    7: required i64 retentionMs
+}
+
 struct RegistryUpdateMessage {
     1: required bool full
     2: required i64 through
     3: required list<BackendChange> changes
+    // Only with a full update.
+    4: optional list<RetiredServerMessage> retired
 }
 
 struct CrashEvidenceMessage {
@@ -226,6 +240,13 @@
     19: optional bool acceptsPatch
     // Set if the receiver shall reply at once when it has a revision above this one, also if the sender doesn't want the view.
     20: optional i64 notifyAbove
+    // Number of the sender's report of requests that may crash backend servers. With the report, unless the receiver has it.
+    21: optional i64 crashReport
+    22: optional list<CrashEvidenceMessage> crashes
+    // Digests of suspect contents that have run without a crash.
+    23: optional list<binary> clearedContents
+    // Version of the receiver's list of suspect contents that the sender has; 0 for none.
+    24: optional i64 suspectsVersion
 }
 
 struct SubscriptionReply {
@@ -254,6 +275,11 @@
     15: optional bool entry
     // The view, compressed with the subscriber's one as the dictionary; instead of view.
     16: optional binary viewPatch
+    // Number of the subscriber's crash report that the sender has.
+    17: optional i64 crashReport
+    // Digests of contents that crashed several backend servers, if the subscriber's version differs.
+    18: optional list<binary> suspects
+    19: optional i64 suspectsVersion
 }
 
 struct DrainRequest {
--- a/src/galenawell/claims/crashsuspicions.cpp
+++ b/src/galenawell/claims/crashsuspicions.cpp
@@ -2,9 +2,22 @@
 
 #include <algorithm>
 #include <utility>
+#include <xxhash.h>
 
 namespace Galenawell {
 
+ContentDigest digestOfContent(const std::vector<std::string_view> &parts)
+{
+    std::string text;
+    for (const std::string_view part : parts) {
+        text += std::to_string(part.size()) + ":";
+        text += part;
+    }
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits(text.data(), text.size()));
+    return {reinterpret_cast<const char *>(canonical.digest), sizeof(canonical.digest)};
+}
+
 CrashSuspicions::CrashSuspicions(CrashSuspicionsOptions newOptions)
     : options(newOptions)
 {
@@ -45,6 +58,28 @@
     }
 }
 
+std::set<CrashEvidence> CrashSuspicions::remove(const ContentDigest &digest)
+{
+    const auto found = this->entries.find(digest);
+    if (found == this->entries.end()) {
+        return {};
+    }
+    std::set<CrashEvidence> evidence = std::move(found->second.evidence);
+    this->entries.erase(found);
+    return evidence;
+}
+
+std::vector<ContentDigest> CrashSuspicions::quarantined(TimePoint now) const
+{
+    std::vector<ContentDigest> digests;
+    for (const auto &[digest, entry] : this->entries) {
+        if (this->isQuarantined(entry) && !this->hasExpired(entry, now)) {
+            digests.push_back(digest);
+        }
+    }
+    return digests;
+}
+
 void CrashSuspicions::expire(TimePoint now)
 {
     std::erase_if(this->entries, [this, now](const auto &entry) { return this->hasExpired(entry.second, now); });
--- a/src/galenawell/claims/crashsuspicions.h
+++ b/src/galenawell/claims/crashsuspicions.h
@@ -9,12 +9,16 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Galenawell {
 
 using ContentDigest = std::string;
 
+// The parts are kept apart, so that moving bytes from one to the next changes the digest.
+ContentDigest digestOfContent(const std::vector<std::string_view> &parts);
+
 struct CrashEvidence
 {
     ContentDigest digest;
@@ -56,6 +60,9 @@
     Suspicion check(const ContentDigest &digest, TimePoint now) const;
     // For content that ran without a crash: removes its evidence unless it is quarantined.
     void clear(const ContentDigest &digest);
+    // Removes the evidence of the content also if it is quarantined, and returns it.
+    std::set<CrashEvidence> remove(const ContentDigest &digest);
+    std::vector<ContentDigest> quarantined(TimePoint now) const;
     void expire(TimePoint now);
 
     // Reserves the replica for one suspect, so that a crash is attributed to one content. False if it is reserved already.
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -35,6 +35,8 @@
 // Disk space in the data folder that log entries leave free for snapshots and hard state.
 constexpr std::size_t reservedBytes = std::size_t(16) * 1024 * 1024;
 constexpr std::size_t segmentBytes = std::size_t(1024) * 1024;
+// A front's evidence of crashes is forgotten by itself after the same time.
+constexpr CrashSuspicionsOptions suspicionOptions{.suspectTime = std::chrono::minutes(10), .maximumEntries = 4096};
 constexpr std::size_t snapshotBytes = std::size_t(4) * 1024 * 1024;
 constexpr std::size_t retainedBytes = std::size_t(2) * 1024 * 1024;
 
@@ -83,6 +85,7 @@
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , fronts(FrontDirectoryOptions{.startedAt = MonotonicClock::now()})
     , impairedServers(ImpairedServersOptions{})
+    , suspectContents(suspicionOptions)
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
 {
@@ -292,6 +295,7 @@
             this->notifyChange();
         }
         this->saveRecoveryHint(now);
+        this->updateSuspects(now);
         this->logImpairedServers(now);
         if (leading != this->isLeader()) {
             leading = this->isLeader();
@@ -362,6 +366,18 @@
                                 .text("first", impaired.empty() ? "" : impaired.front()));
     }
 }
+void ControlMember::updateSuspects(TimePoint now)
+{
+    const std::vector<ContentDigest> &suspects = this->suspectContents.list(now);
+    if (this->suspectContents.version() == this->loggedSuspectsVersion) {
+        return;
+    }
+    this->loggedSuspectsVersion = this->suspectContents.version();
+    this->metrics->set(GaugeName::SuspectContents, static_cast<double>(suspects.size()));
+    this->events->write(EventKind::State, Event("suspect_contents").number("count", static_cast<std::int64_t>(suspects.size())));
+    this->notifyChange();
+}
+
 
 void ControlMember::loadRecoveryHint()
 {
@@ -550,7 +566,7 @@
     const bool sameIncarnation = static_cast<Incarnation>(subscription.registryIncarnation) == this->incarnation;
     const bool notifies = subscription.__isset.notifyAbove && this->view != nullptr
         && this->view->revision > static_cast<std::uint64_t>(subscription.notifyAbove);
-    return this->hasNewerView(subscription) || notifies || !sameIncarnation
+    return this->hasNewerView(subscription) || notifies || !sameIncarnation || this->hasNewerSuspects(subscription)
         || this->registry.newestChange() > static_cast<std::uint64_t>(subscription.registryThrough);
 }
 
@@ -572,6 +588,7 @@
                                         .loopDelay = std::chrono::microseconds(std::max(subscription.loopDelay, 0))},
                             now);
         this->recordImpairments(peer, subscription, now);
+        this->recordCrashes(subscription, now);
     } else {
         this->subscriptions->add(peer);
     }
@@ -595,6 +612,33 @@
     recordAll(subscription.failures, Impairment::Failing);
 }
 
+void ControlMember::recordCrashes(const Wire::Subscription &subscription, TimePoint now)
+{
+    for (const std::string &content : subscription.clearedContents) {
+        this->suspectContents.clear(content, now);
+    }
+    for (const Wire::CrashEvidenceMessage &evidence : subscription.crashes) {
+        this->suspectContents.add(fromMessage(evidence), now);
+    }
+    this->updateSuspects(now);
+}
+
+bool ControlMember::hasNewerSuspects(const Wire::Subscription &subscription) const
+{
+    return subscription.front && subscription.__isset.suspectsVersion && subscription.suspectsVersion != this->suspectContents.version();
+}
+
+void ControlMember::addSuspects(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply) const
+{
+    if (subscription.__isset.crashReport) {
+        reply.__set_crashReport(subscription.crashReport);
+    }
+    if (this->hasNewerSuspects(subscription)) {
+        reply.__set_suspects(this->suspectContents.listed());
+        reply.__set_suspectsVersion(this->suspectContents.version());
+    }
+}
+
 Wire::SubscriptionReply ControlMember::makeReply(const Wire::Subscription &subscription)
 {
     Wire::SubscriptionReply reply;
@@ -631,6 +675,7 @@
     if (usesList && (!sameIncarnation || reply.impairedVersion != subscription.impairedVersion)) {
         reply.__set_impaired(impaired);
     }
+    this->addSuspects(subscription, reply);
     return reply;
 }
 
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -2,6 +2,7 @@
 // servers that announce themselves to it, and the directory of fronts. Everything but the log runs on one executor.
 #pragma once
 
+#include "galenawell/claims/suspectcontents.h"
 #include "galenawell/consensus/bootstrap.h"
 #include "galenawell/control/frontdirectory.h"
 #include "galenawell/consensus/votermanager.h"
@@ -91,6 +92,9 @@
     bool hasUpdates(const Wire::Subscription &subscription) const;
     bool hasNewerView(const Wire::Subscription &subscription) const;
     void addView(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply);
+    void recordCrashes(const Wire::Subscription &subscription, TimePoint now);
+    bool hasNewerSuspects(const Wire::Subscription &subscription) const;
+    void addSuspects(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply) const;
     void recordImpairments(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     Wire::SubscriptionReply makeReply(const Wire::Subscription &subscription);
 
@@ -103,6 +107,8 @@
     void loadRecoveryHint();
     void saveRecoveryHint(TimePoint now);
     void updateEntries(TimePoint now);
+    // Brings the list of suspect contents up to date, and logs and announces a change of it.
+    void updateSuspects(TimePoint now);
     void logImpairedServers(TimePoint now);
     // Requests to be added as a learner while this process isn't a member of the log.
     Asio::awaitable<void> joinLoop();
@@ -129,8 +135,8 @@
     BackendRegistry registry;
     FrontDirectory fronts;
     ImpairedServers impairedServers;
-    // Servers that were retired by this process or, by its registry updates, by another control process.
-    RetiredServers retiredServers;
+    SuspectContents suspectContents;
+    std::int64_t loggedSuspectsVersion = 1;
     std::int64_t loggedImpairedVersion = 1;
     RecoveryFile recoveryFile;
     TimePoint hintSavedAt;
--- a/src/galenawell/front/queryservice.cpp
+++ b/src/galenawell/front/queryservice.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <random>
-#include <xxhash.h>
 
 namespace Galenawell {
 
@@ -62,11 +61,7 @@
 
 ContentDigest digestOf(const QueryRequest &query)
 {
-    const std::string text = query.service + "\n" + query.body.dump();
-    const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-    XXH128_canonical_t canonical;
-    XXH128_canonicalFromHash(&canonical, hash);
-    return {reinterpret_cast<const char *>(canonical.digest), sizeof(canonical.digest)};
+    return digestOfContent({query.service, query.body.dump()});
 }
 
 HttpResponse jsonResponse(unsigned status, const nlohmann::json &document)
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds tickInterval{100};
 // Short compared with the idle timeout of connections.
 constexpr std::chrono::milliseconds closeIdleInterval{500};
+// Limits the messages when many servers crash at once.
+constexpr std::chrono::milliseconds crashReportInterval{500};
 // After this time without a reply from any control process, records no longer expire. Less than any lease, so that no
 // record expires because of lost contact.
 constexpr std::chrono::milliseconds controlContactTimeout{1300};
@@ -217,10 +219,12 @@
     }
     options.policies = options.service->groupPolicies.begin()->second;
     this->scatterCount += route->isScatterGather() ? 1 : 0;
-    const auto run = std::make_shared<RoutedRun>(
-        std::move(options),
-        RoutedRunContext{
-            .codec = this->codec.get(), .client = &this->client, .metrics = this->metrics.get(), .events = this->events.get()});
+    const auto run = std::make_shared<RoutedRun>(std::move(options),
+                                                 RoutedRunContext{.codec = this->codec.get(),
+                                                                  .client = &this->client,
+                                                                  .crashes = &this->crashes,
+                                                                  .metrics = this->metrics.get(),
+                                                                  .events = this->events.get()});
     caller->onClose([run] { run->cancel(); });
     this->activeRuns.insert(run);
     ScatterOutcome outcome = co_await run->run();
@@ -353,9 +357,53 @@
     if (const std::optional<std::uint64_t> known = this->viewSources.notifyAbove(control)) {
         subscription.__set_notifyAbove(static_cast<std::int64_t>(*known));
     }
+    this->addCrashReport(peer, subscription);
     return subscription;
 }
 
+void RoutedFront::addCrashReport(const ControlPeer &peer, Wire::Subscription &subscription) const
+{
+    subscription.__set_suspectsVersion(peer.suspectsVersion);
+    if (peer.crashReport == this->crashes.reportNumber()) {
+        return;
+    }
+    const CrashReport report = this->crashes.report();
+    subscription.__set_crashReport(static_cast<std::int64_t>(report.number));
+    for (const CrashEvidence &evidence : report.evidence) {
+        subscription.crashes.push_back(toMessage(evidence));
+    }
+    subscription.__isset.crashes = true;
+    subscription.__set_clearedContents(report.cleared);
+}
+
+void RoutedFront::updateSuspects(const InstanceName &control, const Wire::SubscriptionReply &reply)
+{
+    ControlPeer &peer = this->controls[control];
+    if (peer.incarnation != reply.incarnation) {
+        peer.incarnation = reply.incarnation;
+        peer.crashReport = 0;
+        peer.suspectsVersion = 0;
+    }
+    if (reply.__isset.crashReport) {
+        peer.crashReport = std::max(peer.crashReport, static_cast<std::uint64_t>(reply.crashReport));
+    }
+    if (reply.__isset.suspects && reply.__isset.suspectsVersion) {
+        peer.suspectsVersion = reply.suspectsVersion;
+        this->crashes.setSuspects(control, reply.suspects);
+        this->metrics->set(GaugeName::SuspectContents, static_cast<double>(this->crashes.suspectCount()));
+    }
+}
+
+void RoutedFront::pushCrashReport(TimePoint now)
+{
+    this->crashes.expire(now);
+    if (this->crashes.reportNumber() != this->pushedCrashReport && now - this->pushedCrashReportAt >= crashReportInterval) {
+        this->pushedCrashReport = this->crashes.reportNumber();
+        this->pushedCrashReportAt = now;
+        this->subscriptions->sendUpdateToAll();
+    }
+}
+
 void RoutedFront::chooseViewSource(TimePoint now)
 {
     std::vector<InstanceName> responding = this->subscriptions->respondedWithin(controlContactTimeout, now);
@@ -434,6 +482,7 @@
     }
     this->updateControlPeer(control, reply, now);
     this->updateFrontCount(now);
+    this->updateSuspects(control, reply);
     this->installEncoded(control, reply);
     this->requestLateView(now);
     if (this->rebuildNeeded && (this->configurationChanged || now - this->rebuiltAt >= tickInterval)) {
@@ -558,10 +607,17 @@
     std::vector<std::string> addresses;
     addresses.reserve(servers.size());
     for (const BackendRecord &server : servers) {
+    std::map<std::string, Incarnation> incarnations;
         addresses.push_back(server.key.address);
     }
+        Incarnation &newest = incarnations[server.key.address];
+        newest = std::max(newest, server.incarnation);
     this->client.retain(addresses);
 }
+    if (const std::size_t crashed = this->crashes.onRegistered(incarnations, this->rebuiltAt); crashed > 0) {
+        this->metrics->count(CounterName::CrashEvidence, static_cast<double>(crashed));
+        this->events->write(EventKind::State, Event("crash_evidence").number("requests", static_cast<std::int64_t>(crashed)));
+    }
 
 Asio::awaitable<void> RoutedFront::tickLoop()
 {
@@ -576,6 +632,7 @@
         }
         this->requestLateView(now);
         if (this->rebuildNeeded) {
+        this->pushCrashReport(now);
             this->rebuild();
         }
         if (now - this->subscriptions->lastReplyAt() > controlContactTimeout) {
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -2,6 +2,7 @@
 // Single-threaded: all coroutines run on one executor.
 #pragma once
 
+#include "galenawell/claims/crashwatch.h"
 #include "galenawell/configuration/routeconfiguration.h"
 #include "galenawell/control/controlstate.h"
 #include "galenawell/control/viewpatch.h"
@@ -59,9 +60,15 @@
     // Table name of the service or the groups for the next request on the route.
     std::string chooseTarget(const Route &route);
 
+    struct ControlPeer;
+
     Wire::Subscription subscriptionFor(const InstanceName &control);
     void handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt);
     void updateControlPeer(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now);
+    void addCrashReport(const ControlPeer &peer, Wire::Subscription &subscription) const;
+    void updateSuspects(const InstanceName &control, const Wire::SubscriptionReply &reply);
+    // Sends new crash evidence without waiting for the next poll.
+    void pushCrashReport(TimePoint now);
     void chooseViewSource(TimePoint now);
     // Requests the view from another control process if the source is late.
     void requestLateView(TimePoint now);
@@ -85,6 +92,10 @@
     // Raised if a control process reports a later incarnation of this front.
     Incarnation incarnation;
     BackendRegistry registry;
+    CrashWatch crashes;
+    // Number of the crash report that was last sent to all control processes at once.
+    std::uint64_t pushedCrashReport = 0;
+    TimePoint pushedCrashReportAt;
     RouteTables tables;
     // Shared with the requests in flight, whose routes point into it.
     std::shared_ptr<const RouteConfiguration> configuration;
@@ -122,6 +133,11 @@
         std::optional<std::size_t> entryFronts;
         // Whether it gives callers the address of this front.
         bool listsThisFront = true;
+        // The run that holds the crash report, and the report's number.
+        std::int64_t incarnation = 0;
+        std::uint64_t crashReport = 0;
+        // Version of its list of suspect contents; 0 for none.
+        std::int64_t suspectsVersion = 0;
     };
 
     std::map<InstanceName, ControlPeer> controls;
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -17,10 +17,25 @@
 RoutedRun::RoutedRun(RoutedRunOptions runOptions, RoutedRunContext runContext)
     : options(std::move(runOptions))
     , context(runContext)
-    , scatter(this->options.scatter, this->options.table, *this->options.service, this->options.policies, this->options.seed)
+    , scatter(this->limitedScatterOptions(), this->options.table, *this->options.service, this->options.policies, this->options.seed)
 {
 }
 
+ScatterOptions RoutedRun::limitedScatterOptions()
+{
+    ScatterOptions scatterOptions = this->options.scatter;
+    scatterOptions.crashesServersOf = [this](const std::string &group) {
+        return this->context.crashes->suspectCount() > 0 && this->context.crashes->isSuspect(this->digestFor(group));
+    };
+    return scatterOptions;
+}
+
+ContentDigest RoutedRun::digestFor(const std::string &group) const
+{
+    const RoutedRequest &request = *this->options.request;
+    return digestOfContent({group, request.host, request.method, request.target, request.body});
+}
+
 Asio::awaitable<ScatterOutcome> RoutedRun::run()
 {
     const auto self = this->shared_from_this();
@@ -77,6 +92,13 @@
     for (const RetryReason reason : actions.retries) {
         this->context.metrics->countRetry(reason);
     }
+    for (const std::string &group : actions.withheld) {
+        this->context.metrics->count(CounterName::WithheldRetries);
+        if (this->context.events->shouldLog(EventKind::Attempt)) {
+            this->context.events->write(EventKind::Attempt,
+                                        Event("retry_withheld").text("request", this->options.request->id).text("group", group));
+        }
+    }
     for (const std::uint64_t id : actions.cancel) {
         const auto found = this->inFlight.find(id);
         if (found != this->inFlight.end()) {
@@ -127,12 +149,19 @@
     request.connectTimeout = connectTimeout;
     request.minimumIdle = send.replica->idlePolicy.minimumIdle;
     request.surplusIdleTimeout = send.replica->idlePolicy.surplusIdleTimeout;
+    const TimePoint sentAt = MonotonicClock::now();
     ExchangeResult result = co_await this->context.client->exchange(std::move(request), handle);
     this->inFlight.erase(send.subrequestId);
+    this->noteExchange(send, result, sentAt);
     if (result.status == ExchangeStatus::Completed) {
         const std::chrono::microseconds latency = result.latency;
         ServerReply reply = this->context.codec->decodeReply(*this->options.request, std::move(result));
         this->noteServerState(send, reply.state);
+        if (reply.failure == RetryReason::WrongServer) {
+            this->noteCrashes(send, this->context.crashes->onServerEnded(send.replica->record.key.address, MonotonicClock::now()));
+        } else if (this->accepts(reply) && this->context.crashes->active()) {
+            this->context.crashes->onSuccess(this->digestFor(send.group), MonotonicClock::now());
+        }
         if (!this->outcome) {
             this->handleReply(send, std::move(reply), latency);
         }
@@ -141,6 +170,37 @@
     }
 }
 
+void RoutedRun::noteExchange(const SubrequestSend &send, const ExchangeResult &result, TimePoint sentAt)
+{
+    const BackendRecord &server = send.replica->record;
+    const TimePoint now = MonotonicClock::now();
+    if (result.refused) {
+        this->noteCrashes(send, this->context.crashes->onServerEnded(server.key.address, now));
+    }
+    const bool mayHaveRun = result.status == ExchangeStatus::Lost || result.status == ExchangeStatus::TimedOut;
+    // A server that shuts down closes its connections.
+    if (mayHaveRun && server.state == BackendState::Ready && send.replica->health->accepting() && !send.replica->health->leaving()) {
+        this->context.crashes->onLost(
+            {.digest = this->digestFor(send.group), .replica = server.key, .replicaIncarnation = server.incarnation}, now);
+    }
+    if (result.status == ExchangeStatus::Completed && this->context.crashes->active()) {
+        this->context.crashes->onReply(server.key, server.incarnation, sentAt);
+    }
+}
+
+void RoutedRun::noteCrashes(const SubrequestSend &send, std::size_t count)
+{
+    if (count == 0) {
+        return;
+    }
+    this->context.metrics->count(CounterName::CrashEvidence, static_cast<double>(count));
+    this->context.events->write(EventKind::State,
+                                Event("crash_evidence")
+                                    .text("server", send.replica->record.key.address)
+                                    .text("identity", send.replica->record.identity)
+                                    .number("requests", static_cast<std::int64_t>(count)));
+}
+
 void RoutedRun::noteServerState(const SubrequestSend &send, const ServerState &state)
 {
     if (!state.leaving && !state.pause && !state.pauseIsInvalid) {
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -2,6 +2,7 @@
 // it. Runs on the strand of the caller's connection.
 #pragma once
 
+#include "galenawell/claims/crashwatch.h"
 #include "galenawell/front/requestcodec.h"
 #include "galenawell/query/scatter.h"
 #include "galenawell/telemetry/eventlog.h"
@@ -35,6 +36,7 @@
 {
     const RequestCodec *codec = nullptr;
     BackendClient *client = nullptr;
+    CrashWatch *crashes = nullptr;
     Metrics *metrics = nullptr;
     EventLog *events = nullptr;
 };
@@ -60,6 +62,11 @@
     Asio::awaitable<void> exchange(SubrequestSend send, std::shared_ptr<ExchangeHandle> handle);
     // Applies what the server says of itself, also if the request has ended meanwhile.
     void noteServerState(const SubrequestSend &send, const ServerState &state);
+    // Tells the crash watch what the end of an exchange shows.
+    void noteExchange(const SubrequestSend &send, const ExchangeResult &result, TimePoint sentAt);
+    void noteCrashes(const SubrequestSend &send, std::size_t count);
+    ContentDigest digestFor(const std::string &group) const;
+    ScatterOptions limitedScatterOptions();
     void handleReply(const SubrequestSend &send, ServerReply reply, std::chrono::microseconds latency);
     void handleFailure(const SubrequestSend &send, const SubrequestFailure &failure);
     void finish(ScatterOutcome result);
--- a/src/galenawell/query/scatter.cpp
+++ b/src/galenawell/query/scatter.cpp
@@ -161,6 +161,11 @@
     return this->options.maximumExecutions == 0 || progress.executions < this->options.maximumExecutions;
 }
 
+bool Scatter::mayRepeat(const GroupProgress &progress) const
+{
+    return progress.arrivals == 0 || !this->options.crashesServersOf || !this->options.crashesServersOf(progress.group->name);
+}
+
 ScatterActions Scatter::start(TimePoint now)
 {
     ScatterActions actions;
@@ -318,6 +323,11 @@
         this->giveUp(index);
         return;
     }
+    if (!this->mayRepeat(progress)) {
+        actions.withheld.push_back(progress.group->name);
+        this->giveUp(index);
+        return;
+    }
     ReplicaQuery query = this->replicaQueryFor(progress);
     query.allowSlow = progress.waitingSince && now - *progress.waitingSince >= slowReplicaWait;
     const Replica *replica = chooseReplica(*progress.replicas, this->service.options, query, this->random, now);
@@ -377,6 +387,10 @@
     if (progress.hedged || progress.pending.size() != 1 || !this->options.idempotent || !this->hasExecutionsLeft(progress)) {
         return;
     }
+    if (!this->mayRepeat(progress)) {
+        actions.withheld.push_back(progress.group->name);
+        return;
+    }
     const bool mayCrashServers = this->probeState != ProbeState::NotNeeded && this->probeState != ProbeState::Passed;
     if (mayCrashServers) {
         this->rescheduleHedge(index, now);
@@ -431,6 +445,7 @@
     };
     progress.pending.push_back(pending);
     ++progress.executions;
+    ++progress.arrivals;
     progress.waitingSince.reset();
     progress.triedAddresses.push_back(replica.record.key.address);
     this->addTimer(index, pending.expiry);
@@ -569,6 +584,9 @@
         ++this->refusedNotRun;
         --progress.executions;
     }
+    if (failure.reason == RetryReason::ConnectionRefused) {
+        --progress.arrivals;
+    }
     if (!isTransient(failure.reason)) {
         ++progress.attempts;
     }
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -41,6 +41,8 @@
     bool idempotent = true;
     // True: after a lost connection the other groups' retries wait for one probe, as the query may crash servers.
     bool probesAfterLostConnection = true;
+    // Whether the request has crashed servers of a group before. Such a group gets one subrequest that reaches a server.
+    std::function<bool(const std::string &group)> crashesServersOf{};
     // Latencies of this kind of request, for groups whose own latencies mix several kinds.
     std::shared_ptr<HedgePolicy> hedge{};
     // The front's preferred replicas are chosen unless another one is better.
@@ -91,6 +93,8 @@
     std::vector<std::uint64_t> cancel;
     // For the metrics.
     std::vector<RetryReason> retries;
+    // Groups that got no further subrequest because the request crashes servers.
+    std::vector<std::string> withheld;
     // When to call onTimer. Set by every call until the scatter has ended; replaces the earlier value.
     std::optional<TimePoint> nextTimerAt;
     std::optional<ScatterOutcome> outcome;
@@ -162,6 +166,8 @@
         ServicePolicies *policies = nullptr;
         // Subrequests that ran or may have run, pending ones included.
         unsigned executions = 0;
+        // Subrequests that reached a server or may have, refused and pending ones included.
+        unsigned arrivals = 0;
         // At most the first subrequest and its hedge.
         std::vector<Pending> pending;
         std::vector<std::string> triedAddresses;
@@ -238,6 +244,8 @@
     bool isPool() const;
     bool meetsMinimum(const Coverage &coverage) const;
     bool hasExecutionsLeft(const GroupProgress &progress) const;
+    // False once a group whose servers the request crashes has got its subrequest.
+    bool mayRepeat(const GroupProgress &progress) const;
     HedgePolicy &hedgePolicyOf(const GroupProgress &progress) const;
     // Hedges are sent earlier while the budget that they draw on is at least half full.
     std::chrono::microseconds hedgeDelayOf(const GroupProgress &progress) const;
--- a/src/galenawell/telemetry/metrics.h
+++ b/src/galenawell/telemetry/metrics.h
@@ -33,6 +33,8 @@
     LeavingReplies,
     ServerPauses,
     InvalidPauses,
+    WithheldRetries,
+    SupersededRecords,
     PeerMessages,
     PeerBytes,
     Count,
@@ -50,6 +52,7 @@
     CommitIndex,
     LogBytes,
     StorageAvailable,
+    SuspectContents,
     Claims,
     Count,
 };
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -386,6 +386,7 @@
         stream.expires_at(request.expiry);
         result.connected = true;
         if (connectError) {
+            result.refused = connectError == Asio::error::connection_refused;
             result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
             co_return result;
         }
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -65,6 +65,8 @@
     std::string body;
     // True if the exchange opened a new connection.
     bool connected = false;
+    // True if no process listened at the address.
+    bool refused = false;
     std::chrono::microseconds latency{0};
     // True if a newer connection to the server received a reply during the exchange, so the server isn't at fault.
     bool connectionAtFault = false;
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
+#include <future>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <thread>
@@ -271,6 +272,72 @@
     }
 }
 
+CrashingServer::CrashingServer(OnCrash crashHandler)
+    : onCrash(std::move(crashHandler))
+{
+    this->acceptor.close();
+    this->start();
+}
+
+CrashingServer::~CrashingServer()
+{
+    this->ioThread.stop();
+}
+
+void CrashingServer::start()
+{
+    std::promise<void> listening;
+    Asio::post(this->ioThread.context, [this, &listening] {
+        this->acceptor = Tcp::acceptor(this->ioThread.context, this->endpoint);
+        ++this->bornAt;
+        this->isRunning = true;
+        Asio::co_spawn(
+            this->ioThread.context, [this] { return this->acceptLoop(); }, Asio::detached);
+        listening.set_value();
+    });
+    listening.get_future().wait();
+}
+
+bool CrashingServer::running() const
+{
+    return this->isRunning;
+}
+
+std::string CrashingServer::address() const
+{
+    return toString(this->endpoint);
+}
+
+std::int64_t CrashingServer::born() const
+{
+    return this->bornAt;
+}
+
+Asio::awaitable<void> CrashingServer::acceptLoop()
+{
+    for (;;) {
+        auto [error, socket] = co_await this->acceptor.async_accept(awaitResult);
+        if (error) {
+            co_return;
+        }
+        Asio::co_spawn(
+            this->ioThread.context,
+            [this, shared = std::make_shared<Tcp::socket>(std::move(socket))] { return this->serve(shared); },
+            Asio::detached);
+    }
+}
+
+Asio::awaitable<void> CrashingServer::serve(std::shared_ptr<Tcp::socket> socket)
+{
+    Beast::flat_buffer buffer;
+    Http::request<Http::string_body> request;
+    auto [error, received] = co_await Http::async_read(*socket, buffer, request, awaitResult);
+    if (!error && this->isRunning.exchange(false)) {
+        this->acceptor.close();
+        this->onCrash(std::string(request["Attempt-Id"]));
+    }
+}
+
 // ---- Processes
 
 PlatformInstallation::PlatformInstallation(std::size_t controlCount, std::size_t frontCount)
@@ -460,13 +527,18 @@
 }
 
 bool PlatformInstallation::announce(ServerStandIn &server, const std::string &state) const
+{
+    return this->announce(server.identity(), server.heartbeat(state));
+}
+
+bool PlatformInstallation::announce(const std::string &identity, const std::string &heartbeat) const
 {
     const std::vector<std::string> names = this->controlNames();
     return std::ranges::any_of(names, [&](const std::string &name) {
         return call({.address = this->controlAddress(name),
                      .method = "PUT",
-                     .target = "/v1/instances/" + server.identity(),
-                     .body = server.heartbeat(state),
+                     .target = "/v1/instances/" + identity,
+                     .body = heartbeat,
                      .timeout = 1000ms})
                    .status
             == 200;
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -128,6 +128,34 @@
     Tcp::acceptor acceptor{this->ioThread.context, anyPort()};
 };
 
+// Ends when it receives a request: closes the connection and its listener. start() begins its next run at the same address.
+class CrashingServer
+{
+public:
+    // Called with the id of each request that ends the server, on the server's own thread.
+    using OnCrash = std::function<void(const std::string &requestId)>;
+
+    explicit CrashingServer(OnCrash onCrash);
+    ~CrashingServer();
+
+    void start();
+    bool running() const;
+    std::string address() const;
+    // Unix milliseconds of the current run's start; rises with each run.
+    std::int64_t born() const;
+
+private:
+    Asio::awaitable<void> acceptLoop();
+    Asio::awaitable<void> serve(std::shared_ptr<Tcp::socket> socket);
+
+    OnCrash onCrash;
+    std::atomic<bool> isRunning{false};
+    std::atomic<std::int64_t> bornAt{1000};
+    IoThread ioThread;
+    Tcp::acceptor acceptor{this->ioThread.context, anyPort()};
+    const Tcp::endpoint endpoint{this->acceptor.local_endpoint()};
+};
+
 class PlatformInstallation
 {
 public:
@@ -161,6 +189,7 @@
     bool putUntilAcknowledged(const nlohmann::json &configuration) const;
     Reply getConfiguration(const std::string &control) const;
     bool announce(ServerStandIn &server, const std::string &state) const;
+    bool announce(const std::string &identity, const std::string &heartbeat) const;
     // Name of the leader of the control group according to the metrics; empty if there is none.
     std::string leader() const;
 
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <memory>
+#include <mutex>
+#include <optional>
 #include <thread>
 
 using namespace Galenawell;
@@ -593,3 +596,83 @@
     cr_assert_gt(answered, 10);
     cr_assert_gt(refused, 10);
 }
+
+// Guards against a request that crashes the servers that run it and is sent on to a second one whenever it comes again, at any
+// front.
+Test(platform, a_request_that_has_crashed_servers_gets_no_second_one)
+{
+    constexpr std::size_t serverCount = 6;
+    constexpr std::size_t crashesBeforeLimit = 3;
+    constexpr std::size_t allowedLateRetries = 3;
+    // In which all fronts must know it.
+    constexpr auto contactTime = 4000ms;
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    TestServers servers(installation);
+    std::mutex mutex;
+    std::vector<std::string> crashed;
+    std::optional<std::chrono::steady_clock::time_point> limitAt;
+    std::size_t lateRetries = 0;
+    const auto onCrash = [&](const std::string &id) {
+        const std::lock_guard lock(mutex);
+        const auto now = std::chrono::steady_clock::now();
+        const bool retry = std::ranges::find(crashed, id) != crashed.end();
+        lateRetries += retry && limitAt && now > *limitAt ? 1 : 0;
+        crashed.push_back(id);
+        if (crashed.size() == crashesBeforeLimit) {
+            limitAt = now + contactTime;
+        }
+    };
+    std::vector<std::unique_ptr<CrashingServer>> crashing;
+    for (std::size_t index = 0; index < serverCount; ++index) {
+        crashing.push_back(std::make_unique<CrashingServer>(onCrash));
+    }
+    // Each ended server is back after some time.
+    std::jthread supervisor([&](const std::stop_token &stop) {
+        for (std::uint64_t sequence = 1; !stop.stop_requested(); ++sequence) {
+            for (std::size_t index = 0; index < serverCount; ++index) {
+                CrashingServer &server = *crashing[index];
+                if (!server.running() && sequence % 4 == index % 4) {
+                    server.start();
+                }
+                if (server.running()) {
+                    const nlohmann::json heartbeat{{"service", "fragile"},
+                                                   {"address", server.address()},
+                                                   {"zone", "z1"},
+                                                   {"slots", 4},
+                                                   {"state", "ready"},
+                                                   {"sequence", sequence},
+                                                   {"born", server.born()}};
+                    installation.announce("i-fragile" + std::to_string(index), heartbeat.dump());
+                }
+            }
+            std::this_thread::sleep_for(250ms);
+        }
+    });
+    nlohmann::json document = configuration(7, twoShards);
+    document["services"].push_back({{"name", "fragile"}, {"connection_limit", 100}});
+    nlohmann::json route = document["routes"][1];
+    route["name"] = "fragile";
+    route["path_prefix"] = "/fragile/";
+    route["kind"] = "safe";
+    route["service"] = "fragile";
+    document["routes"].push_back(route);
+    cr_assert(installation.putUntilAcknowledged(document));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    // Earns the budget of retries.
+    std::jthread other([&](const std::stop_token &stop) {
+        for (int index = 0; !stop.stop_requested(); ++index) {
+            sendRequest(installation, index % 2 == 0 ? "front1" : "front2", "/wide/x", "other" + std::to_string(index));
+        }
+    });
+    for (int index = 0; index < 30; ++index) {
+        sendRequest(installation, index % 2 == 0 ? "front1" : "front2", "/fragile/crash", "c" + std::to_string(index));
+        std::this_thread::sleep_for(400ms);
+    }
+    other = {};
+    supervisor = {};
+    const std::lock_guard lock(mutex);
+    cr_assert_gt(crashed.size(), 10U);
+    cr_assert_leq(lateRetries, allowedLateRetries, "%zu of %zu crashes were late retries", lateRetries, crashed.size());
+    cr_assert(!installation.hasUnexpectedExit());
+}
--- a/tests/unit/query/test_routedscatter.cpp
+++ b/tests/unit/query/test_routedscatter.cpp
@@ -424,3 +424,49 @@
     actions = unknown.expire(start + 2ms);
     cr_assert(actions.outcome && actions.outcome->refusal && actions.outcome->execution == Execution::Unknown);
 }
+
+// Guards against a request that crashes servers and takes a second one of each group at every arrival.
+Test(routedscatter, a_request_that_crashes_servers_reaches_one_of_each_suspect_group)
+{
+    RoutedService routed(2, 3);
+    ScatterOptions options = routed.options(1);
+    options.crashesServersOf = [](const std::string &group) { return group == "g0"; };
+    Scatter scatter = routed.scatter(options);
+    const ScatterActions first = scatter.start(start);
+    cr_assert(first.send.size() == 2);
+    const ScatterActions lost = scatter.onFailure(first.send[0].subrequestId, {.reason = RetryReason::ConnectionLost}, start + 1ms);
+    cr_assert(lost.send.empty() && lost.withheld == std::vector<std::string>{"g0"});
+    const ScatterActions innocent = scatter.onFailure(first.send[1].subrequestId, {.reason = RetryReason::ConnectionLost}, start + 2ms);
+    cr_assert(innocent.send.size() == 1 && innocent.withheld.empty());
+}
+
+// Guards against a hedge that carries a request that crashes servers to a second one, and against a refusal of a server that
+// does the same.
+Test(routedscatter, a_suspect_request_is_neither_hedged_nor_sent_on_after_a_refusal)
+{
+    RoutedService routed(1, 3);
+    ScatterOptions options = routed.options(1);
+    options.crashesServersOf = [](const std::string &) { return true; };
+    Scatter hedged = routed.scatter(options);
+    cr_assert(hedged.start(start).send.size() == 1);
+    for (int elapsed = 5; elapsed < 95; elapsed += 5) {
+        cr_assert(hedged.onTimer(start + std::chrono::milliseconds(elapsed)).send.empty());
+    }
+    Scatter refused = routed.scatter(options);
+    const ScatterActions first = refused.start(start);
+    const ScatterActions end = refused.onFailure(first.send[0].subrequestId, {.reason = RetryReason::Overloaded}, start + 1ms);
+    cr_assert(end.send.empty() && end.outcome.has_value() && end.outcome->execution == Execution::NotRun);
+}
+
+// Guards against a suspect request that loses its one attempt to a server that isn't there.
+Test(routedscatter, a_suspect_request_that_reached_no_server_is_sent_to_another)
+{
+    RoutedService routed(1, 3);
+    ScatterOptions options = routed.options(1);
+    options.crashesServersOf = [](const std::string &) { return true; };
+    Scatter scatter = routed.scatter(options);
+    const ScatterActions first = scatter.start(start);
+    const ScatterActions next = scatter.onFailure(first.send[0].subrequestId, {.reason = RetryReason::ConnectionRefused}, start + 1ms);
+    cr_assert(next.send.size() == 1);
+    cr_assert(scatter.onFailure(next.send[0].subrequestId, {.reason = RetryReason::ConnectionLost}, start + 2ms).send.empty());
+}
