--- a/src/galenawell/front/subrequestcodec.cpp
+++ b/src/galenawell/front/subrequestcodec.cpp
@@ -90,7 +90,8 @@
     reply.group = document.at("group").get<std::string>();
     reply.range.begin = document.at("rangeBegin").get<std::string>();
     reply.range.end = document.at("rangeEnd").get<std::string>();
-    for (const nlohmann::json &row : document.at("rows")) {
+    // A null would be taken for no rows.
+    for (const nlohmann::json &row : document.at("rows").get_ref<const nlohmann::json::array_t &>()) {
         reply.rows.push_back(Row{.key = row.at("key").get<std::string>(), .value = row.at("value")});
     }
     if (document.contains("aggregates") && !document.at("aggregates").is_null()) {
--- a/src/galenawell/settings/objectreader.cpp
+++ b/src/galenawell/settings/objectreader.cpp
@@ -206,6 +206,30 @@
     target = value;
 }
 
+void ObjectReader::texts(const std::string &key, std::vector<std::string> &target, const TextRule &rule, IntegerRange lengths)
+{
+    const nlohmann::json *value = this->find(key);
+    if (value == nullptr) {
+        return;
+    }
+    if (!value->is_array() || value->size() < lengths.minimum || value->size() > lengths.maximum) {
+        const std::string allowed = "an array of " + std::to_string(lengths.minimum) + " to " + std::to_string(lengths.maximum) + " texts";
+        this->failValue(key, allowed, *value);
+        return;
+    }
+    std::vector<std::string> texts;
+    for (std::size_t index = 0; index < value->size(); ++index) {
+        const nlohmann::json &entry = value->at(index);
+        if (!entry.is_string() || !rule.accepts(entry.get_ref<const std::string &>())) {
+            const std::string pointer = childPointer(childPointer(this->basePointer, key), std::to_string(index));
+            this->firstError->add(pointer, "must be " + std::string(rule.allowed) + ", is " + Detail::formatValue(entry));
+            return;
+        }
+        texts.push_back(entry.get<std::string>());
+    }
+    target = std::move(texts);
+}
+
 ObjectReader ObjectReader::object(const std::string &key)
 {
     const nlohmann::json *value = this->find(key);
--- a/src/galenawell/settings/objectreader.h
+++ b/src/galenawell/settings/objectreader.h
@@ -99,6 +99,9 @@
     template<typename T>
     void choice(const std::string &key, T &target, std::span<const Choice<T>> choices);
 
+    // An array of texts that all follow the rule.
+    void texts(const std::string &key, std::vector<std::string> &target, const TextRule &rule, IntegerRange lengths);
+
     ObjectReader object(const std::string &key);
     std::vector<ObjectReader> objects(const std::string &key, IntegerRange lengths);
     // Every member as an object, by key.
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -676,3 +676,22 @@
     cr_assert_leq(lateRetries, allowedLateRetries, "%zu of %zu crashes were late retries", lateRetries, crashed.size());
     cr_assert(!installation.hasUnexpectedExit());
 }
+
+// Guards against a configuration whose lists are of another type, which is acknowledged and answers every request with 404.
+Test(platform, a_configuration_with_null_lists_is_refused_and_changes_nothing)
+{
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    const nlohmann::json valid = configuration(7, twoShards);
+    cr_assert(installation.putUntilAcknowledged(valid));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    for (const char *field : {"routes", "services", "limits"}) {
+        nlohmann::json invalid = configuration(8, twoShards);
+        invalid[field] = nullptr;
+        const Reply refused = installation.putConfiguration("control1", invalid);
+        cr_assert(refused.status == 400 && refused.body.find(field) != std::string::npos, "%u %s", refused.status, refused.body.c_str());
+    }
+    cr_assert(installation.getConfiguration("control2").body == valid.dump());
+    cr_assert(allFrontsServe(installation));
+}
--- a/tests/unit/front/test_subrequestcodec.cpp
+++ b/tests/unit/front/test_subrequestcodec.cpp
@@ -59,6 +59,16 @@
     }
 }
 
+// Guards against rows of another type that count as none, so that rows are missing from an answer that states full coverage.
+Test(subrequest_codec, rows_that_are_no_array_are_refused)
+{
+    for (const nlohmann::json &wrong : {nlohmann::json(nullptr), nlohmann::json::object(), nlohmann::json(0), nlohmann::json("")}) {
+        nlohmann::json document = reply();
+        document["rows"] = wrong;
+        cr_assert(!parseReply(200, document.dump(), 7), "%s", wrong.dump().c_str());
+    }
+}
+
 // Guards against merging the reply to one request into the answer to another.
 Test(subrequest_codec, a_reply_or_refusal_with_another_id_is_refused)
 {
--- a/tests/unit/platform/test_manifestcodec.cpp
+++ b/tests/unit/platform/test_manifestcodec.cpp
@@ -1,6 +1,7 @@
 #include "platform/manifestcodec.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 #include <nlohmann/json.hpp>
 
 using namespace Galenawell;
@@ -26,6 +27,34 @@
     return !Platform::parseManifest(document.dump()).has_value();
 }
 
+// Every place of a document, as JSON pointers.
+std::vector<nlohmann::json::json_pointer> placesOf(const nlohmann::json &document)
+{
+    std::vector<nlohmann::json::json_pointer> places;
+    const std::function<void(const nlohmann::json &, const nlohmann::json::json_pointer &)> visit
+        = [&](const nlohmann::json &value, const auto &pointer) {
+              places.push_back(pointer);
+              if (value.is_object()) {
+                  for (const auto &[key, child] : value.items()) {
+                      visit(child, pointer / key);
+                  }
+              } else if (value.is_array()) {
+                  for (std::size_t index = 0; index < value.size(); ++index) {
+                      visit(value[index], pointer / index);
+                  }
+              }
+          };
+    visit(document, nlohmann::json::json_pointer());
+    return places;
+}
+
+// Fields that the adapter doesn't use may hold anything.
+bool isUsed(const nlohmann::json::json_pointer &place)
+{
+    const std::string text = place.to_string();
+    return !text.ends_with("/health_check_path") && !text.ends_with("/protocol") && !text.ends_with("/use_tls");
+}
+
 } // namespace
 
 // Guards against mixed-up fields.
@@ -76,3 +105,72 @@
     cr_assert(refused(noVersion));
     cr_assert(refused(nlohmann::json::array()));
 }
+
+// Guards against a wrong type that is taken for an empty list, an empty object or a default: a configuration without routes
+// answers every request with 404.
+Test(manifestcodec, a_value_of_another_type_is_refused_at_every_place)
+{
+    const std::vector<nlohmann::json> values{
+        nullptr, true, -1, 0.5, 1e300, "text", "", nlohmann::json::array(), nlohmann::json::object(), {1}, {nullptr}, {{"a", 1}}};
+    const nlohmann::json valid = manifest();
+    for (const nlohmann::json::json_pointer &place : placesOf(valid)) {
+        for (const nlohmann::json &value : values) {
+            nlohmann::json changed = valid;
+            // Other values of the same type are covered by the rules for that field.
+            const bool sameType = value.type() == valid.at(place).type() || (value.is_number() && valid.at(place).is_number());
+            if (!isUsed(place) || sameType) {
+                continue;
+            }
+            changed[place] = value;
+            const Result<RouteConfiguration> parsed = Platform::parseManifest(changed.dump());
+            cr_assert(!parsed.has_value(), "%s with %s is accepted", place.to_string().c_str(), value.dump().c_str());
+            cr_assert(parsed.error().detail.find(place.to_string()) != std::string::npos,
+                      "%s isn't named in: %s",
+                      place.to_string().c_str(),
+                      parsed.error().detail.c_str());
+        }
+    }
+}
+
+// Guards against numbers out of range that wrap around, and against a version that processes can't pass on to each other.
+Test(manifestcodec, a_number_out_of_range_is_refused_at_every_place)
+{
+    const nlohmann::json valid = manifest();
+    for (const nlohmann::json::json_pointer &place : placesOf(valid)) {
+        if (!valid.at(place).is_number()) {
+            continue;
+        }
+        for (const nlohmann::json &value : std::vector<nlohmann::json>{-1, -0.5, 1e300, std::uint64_t(1) << 63U}) {
+            nlohmann::json changed = valid;
+            changed[place] = value;
+            cr_assert(refused(changed), "%s with %s is accepted", place.to_string().c_str(), value.dump().c_str());
+        }
+    }
+    nlohmann::json largest = valid;
+    largest["version"] = (std::uint64_t(1) << 63U) - 1;
+    cr_assert(Platform::parseManifest(largest.dump()).value().number() == (std::uint64_t(1) << 63U) - 1);
+}
+
+// Guards against a configuration that is accepted although a required part is absent.
+Test(manifestcodec, an_absent_required_field_is_refused_by_name)
+{
+    const std::vector<std::string> required{"/version",
+                                            "/routes",
+                                            "/services",
+                                            "/routes/0/name",
+                                            "/routes/0/host",
+                                            "/routes/0/path_prefix",
+                                            "/routes/0/kind",
+                                            "/routes/0/timeout_ms",
+                                            "/routes/2/traffic_split/0/service",
+                                            "/routes/2/traffic_split/1/weight",
+                                            "/services/1/name"};
+    for (const std::string &place : required) {
+        const nlohmann::json::json_pointer pointer(place);
+        nlohmann::json changed = manifest();
+        changed[pointer.parent_pointer()].erase(pointer.back());
+        const Result<RouteConfiguration> parsed = Platform::parseManifest(changed.dump());
+        cr_assert(!parsed.has_value(), "a configuration without %s is accepted", place.c_str());
+        cr_assert(parsed.error().detail.find(place) != std::string::npos, "%s", parsed.error().detail.c_str());
+    }
+}
