Keep servers that have left away whatever returns

Cause: servers of the recovery file became leases as if just renewed; the record of a leave was kept for one lease, shorter than older claims can take to arrive; and a mass expiry counted servers that announce themselves elsewhere as unknown and had no end.

Change: RetiredServers, now a part of every registry, keeps for 10 min by service, address, identity and incarnation that a server drains or has left. Older announcements are refused, older records hidden or shown as draining. Full updates and the recovery file carry the entries with their remaining time. Leases of the recovery file and of before a pause are remembered: one lease long, replaced by any announcement, without a vote in a mass expiry. Servers that moved count as alive, and a mass expiry ends after 5 min, sooner than the entries.

Why it works: a front that heard of a leave ignores any older claim, whoever makes it, and one that starts learns the entries with the first full update of a process that knows them.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -88,10 +88,10 @@
     , suspectContents(suspicionOptions)
     , recoveryFile(this->settings.dataFolder / "recovery.hint")
     , createdAt(MonotonicClock::now())
+    , voterManager(VoterManagerOptions{.targetVoterCount = 2 * this->settings.toleratedLosses + 1})
 {
 }
 
-    , voterManager(VoterManagerOptions{.targetVoterCount = 2 * this->settings.toleratedLosses + 1})
 Status ControlMember::start()
 {
     BOOST_OUTCOME_TRY(LogStorage storage,
@@ -278,7 +278,6 @@
         const bool registryChanged = this->registry.expire(now);
         this->fronts.expire(now);
         this->updateEntries(now);
-        this->retiredServers.expire(now);
         for (const Member &member : this->logStatus.membership.members) {
             this->subscriptions->add(member.instance);
         }
@@ -295,8 +294,8 @@
             this->notifyChange();
         }
         this->saveRecoveryHint(now);
-        this->updateSuspects(now);
         this->logImpairedServers(now);
+        this->updateSuspects(now);
         if (leading != this->isLeader()) {
             leading = this->isLeader();
             logger.info(std::string(leading ? "leads" : "no longer leads") + " the log in term " + std::to_string(this->logStatus.term));
@@ -366,6 +365,7 @@
                                 .text("first", impaired.empty() ? "" : impaired.front()));
     }
 }
+
 void ControlMember::updateSuspects(TimePoint now)
 {
     const std::vector<ContentDigest> &suspects = this->suspectContents.list(now);
@@ -378,7 +378,6 @@
     this->notifyChange();
 }
 
-
 void ControlMember::loadRecoveryHint()
 {
     std::optional<RecoveryHint> hint = this->recoveryFile.read();
@@ -389,9 +388,9 @@
                 + " backend servers");
     this->view = std::make_shared<const ControlView>(std::move(hint->view));
     for (const BackendRecord &server : hint->servers) {
-        // The registry is empty, so no announcement can be outdated.
-        static_cast<void>(this->registry.announce(server, this->createdAt));
+        this->registry.remember(server, this->createdAt);
     }
+    this->registry.addRetired(hint->retired, this->createdAt);
 }
 
 void ControlMember::saveRecoveryHint(TimePoint now)
@@ -401,7 +400,8 @@
     }
     this->hintSavedAt = now;
     this->hintOutdated = false;
-    this->recoveryFile.write(RecoveryHint{.view = *this->view, .servers = this->registry.visible()});
+    this->recoveryFile.write(
+        RecoveryHint{.view = *this->view, .servers = this->registry.visible(), .retired = this->registry.retiredServers()});
 }
 
 // ---- Members of the log
@@ -707,11 +707,6 @@
         }
         this->registry.applyUpdate(update, now);
         this->hintOutdated = true;
-        for (const RegistryChange &change : update.changes) {
-            if (change.record.state == BackendState::Stopped) {
-                this->retiredServers.add(change.record.identity, change.record.incarnation, now);
-            }
-        }
     }
     // Only the leader's list is certain to be up to date.
     if (!reply.members.empty() && reply.leader == control) {
@@ -898,11 +893,6 @@
 {
     this->metrics->count(CounterName::Announcements);
     const TimePoint now = MonotonicClock::now();
-    if (record.state != BackendState::Stopped && this->retiredServers.contains(record.identity, record.incarnation, now)) {
-        this->events->write(EventKind::State,
-                            Event("announcement_ignored").text("identity", record.identity).text("reason", "the server has left"));
-        return makeError(ErrorKind::NumberOutOfOrder, "server " + record.identity + " has left; only a new run of it is accepted");
-    }
     const std::uint64_t before = this->registry.newestChange();
     const Result<bool> announced = this->registry.announce(record, now);
     if (!announced) {
@@ -930,7 +920,6 @@
         if (known.identity != identity) {
             continue;
         }
-        this->retiredServers.add(identity, known.incarnation, MonotonicClock::now());
         BackendRecord stopped = known;
         stopped.state = BackendState::Stopped;
         // The highest sequence number outdates all announcements of this incarnation that are still in flight.
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -4,15 +4,14 @@
 
 #include "galenawell/claims/suspectcontents.h"
 #include "galenawell/consensus/bootstrap.h"
-#include "galenawell/control/frontdirectory.h"
 #include "galenawell/consensus/votermanager.h"
+#include "galenawell/control/frontdirectory.h"
 #include "galenawell/control/recoveryfile.h"
 #include "galenawell/control/replicatedlog.h"
 #include "galenawell/control/viewpatch.h"
 #include "galenawell/membership/controlsubscriptions.h"
 #include "galenawell/registry/backendregistry.h"
 #include "galenawell/registry/impairedservers.h"
-#include "galenawell/registry/retiredservers.h"
 #include "galenawell/settings/nodesettings.h"
 #include "galenawell/telemetry/eventlog.h"
 #include "galenawell/telemetry/metrics.h"
@@ -92,10 +91,10 @@
     bool hasUpdates(const Wire::Subscription &subscription) const;
     bool hasNewerView(const Wire::Subscription &subscription) const;
     void addView(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply);
+    void recordImpairments(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     void recordCrashes(const Wire::Subscription &subscription, TimePoint now);
     bool hasNewerSuspects(const Wire::Subscription &subscription) const;
     void addSuspects(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply) const;
-    void recordImpairments(const InstanceName &front, const Wire::Subscription &subscription, TimePoint now);
     Wire::SubscriptionReply makeReply(const Wire::Subscription &subscription);
 
     Asio::awaitable<Result<ProposalOutcome>> proposeUntil(std::string command, TimePoint end);
@@ -107,9 +106,9 @@
     void loadRecoveryHint();
     void saveRecoveryHint(TimePoint now);
     void updateEntries(TimePoint now);
+    void logImpairedServers(TimePoint now);
     // Brings the list of suspect contents up to date, and logs and announces a change of it.
     void updateSuspects(TimePoint now);
-    void logImpairedServers(TimePoint now);
     // Requests to be added as a learner while this process isn't a member of the log.
     Asio::awaitable<void> joinLoop();
     Asio::awaitable<void> adjustVoters();
--- a/src/galenawell/control/recoveryfile.cpp
+++ b/src/galenawell/control/recoveryfile.cpp
@@ -26,7 +26,7 @@
 
 std::string encodeRecoveryHint(const RecoveryHint &hint)
 {
-    RegistryUpdate servers{.full = true};
+    RegistryUpdate servers{.full = true, .retired = hint.retired};
     for (const BackendRecord &record : hint.servers) {
         servers.changes.push_back(RegistryChange{.number = 0, .record = record});
     }
@@ -61,6 +61,7 @@
             hint.servers.push_back(change.record);
         }
     }
+    hint.retired = servers.retired;
     return hint;
 }
 
--- a/src/galenawell/control/recoveryfile.h
+++ b/src/galenawell/control/recoveryfile.h
@@ -18,6 +18,7 @@
 {
     ControlView view;
     std::vector<BackendRecord> servers;
+    std::vector<RetiredServer> retired;
 };
 
 std::string encodeRecoveryHint(const RecoveryHint &hint);
--- a/src/galenawell/front/registrycodec.cpp
+++ b/src/galenawell/front/registrycodec.cpp
@@ -156,6 +156,18 @@
         wire.removed = change.removed;
         message.changes.push_back(std::move(wire));
     }
+    for (const RetiredServer &server : update.retired) {
+        Wire::RetiredServerMessage wire;
+        wire.serviceName = server.key.service;
+        wire.group = server.key.group;
+        wire.address = server.key.address;
+        wire.identity = server.identity;
+        wire.incarnation = static_cast<std::int64_t>(server.incarnation);
+        wire.state = static_cast<std::int32_t>(server.state);
+        wire.retentionMs = server.retention.count();
+        message.retired.push_back(std::move(wire));
+    }
+    message.__isset.retired = !message.retired.empty();
     return message;
 }
 
@@ -176,6 +188,16 @@
         change.removed = wire.removed;
         update.changes.push_back(std::move(change));
     }
+    for (const Wire::RetiredServerMessage &wire : message.retired) {
+        const auto state = static_cast<BackendState>(wire.state);
+        if (state == BackendState::Draining || state == BackendState::Stopped) {
+            update.retired.push_back({.key = {.service = wire.serviceName, .group = wire.group, .address = wire.address},
+                                      .identity = wire.identity,
+                                      .incarnation = static_cast<Incarnation>(wire.incarnation),
+                                      .state = state,
+                                      .retention = std::chrono::milliseconds(std::max<std::int64_t>(wire.retentionMs, 0))});
+        }
+    }
     return update;
 }
 
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -478,11 +478,12 @@
             logger.warn(*defects);
         }
         this->registry.applyUpdate(update, now);
+        this->metrics->raiseCounterTo(CounterName::SupersededRecords, static_cast<double>(this->registry.supersededRecords()));
         this->rebuildNeeded = true;
     }
     this->updateControlPeer(control, reply, now);
-    this->updateFrontCount(now);
     this->updateSuspects(control, reply);
+    this->updateFrontCount(now);
     this->installEncoded(control, reply);
     this->requestLateView(now);
     if (this->rebuildNeeded && (this->configurationChanged || now - this->rebuiltAt >= tickInterval)) {
@@ -606,18 +607,18 @@
     this->metrics->set(GaugeName::BackendServers, static_cast<double>(servers.size()));
     std::vector<std::string> addresses;
     addresses.reserve(servers.size());
-    for (const BackendRecord &server : servers) {
     std::map<std::string, Incarnation> incarnations;
+    for (const BackendRecord &server : servers) {
         addresses.push_back(server.key.address);
-    }
         Incarnation &newest = incarnations[server.key.address];
         newest = std::max(newest, server.incarnation);
+    }
     this->client.retain(addresses);
-}
     if (const std::size_t crashed = this->crashes.onRegistered(incarnations, this->rebuiltAt); crashed > 0) {
         this->metrics->count(CounterName::CrashEvidence, static_cast<double>(crashed));
         this->events->write(EventKind::State, Event("crash_evidence").number("requests", static_cast<std::int64_t>(crashed)));
     }
+}
 
 Asio::awaitable<void> RoutedFront::tickLoop()
 {
@@ -631,8 +632,8 @@
             this->client.closeIdle(now);
         }
         this->requestLateView(now);
-        if (this->rebuildNeeded) {
         this->pushCrashReport(now);
+        if (this->rebuildNeeded) {
             this->rebuild();
         }
         if (now - this->subscriptions->lastReplyAt() > controlContactTimeout) {
--- a/src/galenawell/registry/backendregistry.cpp
+++ b/src/galenawell/registry/backendregistry.cpp
@@ -97,11 +97,17 @@
 
 BackendRegistry::BackendRegistry(RegistryOptions newOptions)
     : options(std::move(newOptions))
+    , retired(this->options.retired)
 {
 }
 
 Result<bool> BackendRegistry::announce(const BackendRecord &record, TimePoint now)
 {
+    this->latestTime = now;
+    if (this->retired.supersedes(record)) {
+        return makeError(ErrorKind::NumberOutOfOrder,
+                         describe(record.key) + " has announced its shutdown; only a new run of it is accepted");
+    }
     const BackendRecord *visibleNow = this->newest(record.key);
     const BackendRecord *known = visibleNow;
     // Rejects a delayed announcement of a server whose lease just expired.
@@ -119,6 +125,7 @@
     const auto local = this->leases.find(record.key);
     const bool replicate = local == this->leases.end() || !local->second.record.sameContent(record);
     this->leases[record.key] = {.record = record, .renewedAt = now};
+    this->retired.note(record, now);
     this->recentlyExpired.erase(record.key);
     if (replicate) {
         this->recordChange(record, false);
@@ -126,8 +133,18 @@
     return differs(before, &record);
 }
 
+void BackendRegistry::remember(const BackendRecord &record, TimePoint now)
+{
+    this->latestTime = now;
+    this->leases[record.key] = {.record = record, .renewedAt = now, .remembered = true};
+    this->retired.note(record, now);
+    this->recordChange(record, false);
+}
+
 bool BackendRegistry::expire(TimePoint now)
 {
+    this->latestTime = now;
+    this->retired.expire(now);
     const bool leasesChanged = this->expireLeases(now);
     const bool originsChanged = this->expireOrigins(now);
     return leasesChanged || originsChanged;
@@ -136,24 +153,67 @@
 bool BackendRegistry::expireLeases(TimePoint now)
 {
     std::erase_if(this->recentlyExpired, [this, now](const auto &entry) { return now - entry.second.expiredAt >= this->options.lease; });
+    std::erase_if(this->moved, [this, now](const auto &entry) { return now - entry.second >= this->options.lease; });
+    this->rememberAfterPause(now);
     bool changed = this->removeDeparted(now);
+    changed = this->removeRemembered(now) || changed;
     const std::vector<ReplicaKey> failed = this->overdueLeases(this->options.lease, now);
     const bool wasMassExpiry = this->massExpiry;
     this->massExpiry = (!failed.empty() || !this->recentlyExpired.empty()) && this->isMassExpiry(now);
-    if (this->massExpiry) {
+    if (!wasMassExpiry) {
+        this->massExpirySince = now;
+    }
+    const bool limitReached = this->massExpiry && now - this->massExpirySince >= this->options.massExpiryLimit;
+    if (this->massExpiry && !limitReached) {
         changed = changed || !this->recentlyExpired.empty();
         this->restoreExpired();
         return changed;
     }
     for (const ReplicaKey &key : failed) {
         // After a network failure servers return one by one, so the others get one more lease duration.
-        if (wasMassExpiry) {
+        if (wasMassExpiry && !limitReached) {
             this->leases.at(key).renewedAt = now;
             continue;
         }
         const Lease lease = this->leases.at(key);
         changed = this->removeLease(key) || changed;
-        this->recentlyExpired[key] = {.lease = lease, .expiredAt = now};
+        if (!limitReached) {
+            this->recentlyExpired[key] = {.lease = lease, .expiredAt = now};
+        }
+    }
+    if (limitReached) {
+        this->massExpiry = false;
+        this->recentlyExpired.clear();
+    }
+    return changed;
+}
+
+void BackendRegistry::rememberAfterPause(TimePoint now)
+{
+    const bool paused = this->expiredAt && now - *this->expiredAt > this->options.lease;
+    this->expiredAt = now;
+    if (!paused) {
+        return;
+    }
+    for (auto &[key, lease] : this->leases) {
+        if (!lease.remembered && now - lease.renewedAt > this->options.lease) {
+            lease.remembered = true;
+            lease.renewedAt = now;
+        }
+    }
+}
+
+bool BackendRegistry::removeRemembered(TimePoint now)
+{
+    std::vector<ReplicaKey> ended;
+    for (const auto &[key, lease] : this->leases) {
+        if (lease.remembered && now - lease.renewedAt > this->options.lease) {
+            ended.push_back(key);
+        }
+    }
+    bool changed = false;
+    for (const ReplicaKey &key : ended) {
+        changed = this->removeLease(key) || changed;
     }
     return changed;
 }
@@ -173,6 +233,9 @@
     }
     bool changed = false;
     for (const ReplicaKey &key : departed) {
+        if (isVisible(this->newestRemote(key))) {
+            this->moved[key] = now;
+        }
         changed = this->removeLease(key) || changed;
     }
     return changed;
@@ -182,7 +245,7 @@
 {
     std::vector<ReplicaKey> keys;
     for (const auto &[key, lease] : this->leases) {
-        if (now - lease.renewedAt > longerThan && !this->hasDeparted(lease)) {
+        if (now - lease.renewedAt > longerThan && !lease.remembered && !this->hasDeparted(lease)) {
             keys.push_back(key);
         }
     }
@@ -192,7 +255,9 @@
 bool BackendRegistry::isMassExpiry(TimePoint now) const
 {
     const std::size_t expiries = this->overdueLeases(this->options.lease / 2, now).size() + this->recentlyExpired.size();
-    const std::size_t total = this->leases.size() + this->recentlyExpired.size();
+    const auto remembered = std::ranges::count_if(this->leases, [](const auto &entry) { return entry.second.remembered; });
+    const std::size_t total
+        = this->leases.size() - static_cast<std::size_t>(remembered) + this->recentlyExpired.size() + this->moved.size();
     return expiries >= this->options.massExpiryMinimum && expiries * 2 > total;
 }
 
@@ -252,6 +317,13 @@
     if (origin == nullptr) {
         return true;
     }
+    this->addRetired(update.retired, now);
+    for (const RegistryChange &change : update.changes) {
+        if (change.defect.empty() && !change.removed) {
+            this->supersededCount += this->retired.supersedes(change.record) ? 1 : 0;
+            this->retired.note(change.record, now);
+        }
+    }
     if (update.full) {
         if (update.through < origin->through) {
             return true;
@@ -295,6 +367,7 @@
         for (const auto &[key, lease] : this->leases) {
             update.changes.push_back({.number = this->changeNumber, .record = lease.record});
         }
+        update.retired = this->retiredServers();
         return update;
     }
     const auto first = this->changes.begin() + static_cast<std::ptrdiff_t>(acknowledged - oldestKept);
@@ -344,9 +417,13 @@
 std::vector<BackendRecord> BackendRegistry::visible() const
 {
     std::vector<BackendRecord> records;
-    const auto offer = [&records](const BackendRecord *record) {
-        if (isVisible(record)) {
+    const auto offer = [this, &records](const BackendRecord *record) {
+        if (!isVisible(record)) {
+            return;
+        }
+        if (const BackendState state = this->retired.latestStateOf(*record); state != BackendState::Stopped) {
             records.push_back(*record);
+            records.back().state = state;
         }
     };
     // Both maps are sorted by key.
@@ -369,6 +446,24 @@
     return records;
 }
 
+std::vector<RetiredServer> BackendRegistry::retiredServers() const
+{
+    return this->retired.all(this->latestTime);
+}
+
+void BackendRegistry::addRetired(const std::vector<RetiredServer> &servers, TimePoint now)
+{
+    this->latestTime = now;
+    for (const RetiredServer &server : servers) {
+        this->retired.add(server, now);
+    }
+}
+
+std::uint64_t BackendRegistry::supersededRecords() const
+{
+    return this->supersededCount;
+}
+
 bool BackendRegistry::suspect() const
 {
     return this->massExpiry;
--- a/src/galenawell/registry/backendregistry.h
+++ b/src/galenawell/registry/backendregistry.h
@@ -6,6 +6,7 @@
 #include "galenawell/core/error.h"
 #include "galenawell/core/identifiers.h"
 #include "galenawell/registry/partitionmap.h"
+#include "galenawell/registry/retiredservers.h"
 
 #include <chrono>
 #include <cstdint>
@@ -68,6 +69,8 @@
     // The newest change number that the update covers.
     std::uint64_t through = 0;
     std::vector<RegistryChange> changes;
+    // Servers that have announced their shutdown, only with a full update. Later ones are seen from their changes.
+    std::vector<RetiredServer> retired{};
 };
 
 struct RegistryOptions
@@ -79,6 +82,10 @@
     std::size_t changeLogCapacity = 4096;
     // Fewer expiries count as single failures; otherwise the only server of a front would never expire.
     std::size_t massExpiryMinimum = 2;
+    // After this time a mass expiry counts as real. Shorter than the retention of retired servers, so that a server that left
+    // elsewhere meanwhile isn't used again.
+    std::chrono::milliseconds massExpiryLimit{std::chrono::minutes(5)};
+    RetiredServersOptions retired{};
 };
 
 class BackendRegistry
@@ -91,7 +98,11 @@
     // Renews the server's lease. True if the visible set changed; an error for an outdated incarnation or sequence.
     Result<bool> announce(const BackendRecord &record, TimePoint now);
 
-    // Removes expired leases and origins. True if the visible set changed.
+    // Takes over a server that an earlier run of this process knew, for at most one lease. An announcement replaces it.
+    void remember(const BackendRecord &record, TimePoint now);
+
+    // Removes expired leases and origins. True if the visible set changed. To be called more often than once a lease: after a
+    // longer gap this process was paused, and its leases are only remembered.
     bool expire(TimePoint now);
 
     // Applies another origin's update. False after a gap in the change numbers, which needs a full update.
@@ -114,9 +125,16 @@
     // Renews all records of an origin; any message from it counts.
     void renewOrigin(const InstanceName &origin, Incarnation originIncarnation, TimePoint now);
 
-    // The newest record, by (incarnation, sequence), of each server that isn't stopped.
+    // The newest record, by (incarnation, sequence), of each server that isn't stopped. A server that has announced its shutdown
+    // is draining or absent, whatever its records say.
     std::vector<BackendRecord> visible() const;
 
+    // Servers that have announced their shutdown.
+    std::vector<RetiredServer> retiredServers() const;
+    void addRetired(const std::vector<RetiredServer> &servers, TimePoint now);
+    // Records received from other origins that were older than the announced shutdown of their server.
+    std::uint64_t supersededRecords() const;
+
     // True while more than half of the leases expire within one lease duration; the last known set is kept then. A lease
     // counts after half of its duration, so that the set doesn't shrink before the mass expiry is detected.
     bool suspect() const;
@@ -129,6 +147,9 @@
     {
         BackendRecord record;
         TimePoint renewedAt;
+        // Known from an earlier run or from before a pause. Ends after one lease and doesn't count for a mass expiry, since
+        // the server may have left or announced itself elsewhere unnoticed.
+        bool remembered = false;
     };
 
     // A lease that expired less than one lease duration ago; restored if a mass expiry is detected.
@@ -166,6 +187,9 @@
     // True if the server stopped or announced itself elsewhere, which isn't a failure.
     bool hasDeparted(const Lease &lease) const;
     bool removeDeparted(TimePoint now);
+    // Keeps overdue leases for one more lease if this process was paused.
+    void rememberAfterPause(TimePoint now);
+    bool removeRemembered(TimePoint now);
     // Leases that weren't renewed for longer than this, except those of departed servers.
     std::vector<ReplicaKey> overdueLeases(std::chrono::milliseconds longerThan, TimePoint now) const;
     bool isMassExpiry(TimePoint now) const;
@@ -187,6 +211,14 @@
     // and records to origins; std::map keeps the addresses of both stable.
     std::map<ReplicaKey, std::vector<RemoteRecord>> remoteRecords;
     bool massExpiry = false;
+    TimePoint massExpirySince;
+    // Servers that announced themselves elsewhere after their lease here, so they are alive; for one lease.
+    std::map<ReplicaKey, TimePoint> moved;
+    RetiredServers retired;
+    std::uint64_t supersededCount = 0;
+    // Time of the latest call that passed one.
+    TimePoint latestTime;
+    std::optional<TimePoint> expiredAt;
 };
 
 } // namespace Galenawell
--- a/src/galenawell/registry/retiredservers.cpp
+++ b/src/galenawell/registry/retiredservers.cpp
@@ -1,25 +1,75 @@
 #include "galenawell/registry/retiredservers.h"
 
+#include "galenawell/registry/backendregistry.h"
+
 #include <algorithm>
+#include <tuple>
 
 namespace Galenawell {
 
-RetiredServers::RetiredServers(std::chrono::milliseconds retentionTime)
-    : retention(retentionTime)
+RetiredServers::RetiredServers(RetiredServersOptions serverOptions)
+    : options(serverOptions)
+{
+}
+
+void RetiredServers::note(const BackendRecord &record, TimePoint now)
+{
+    if (!record.identity.empty() && record.state >= BackendState::Draining) {
+        this->add({.key = record.key,
+                   .identity = record.identity,
+                   .incarnation = record.incarnation,
+                   .state = record.state,
+                   .retention = this->options.retention},
+                  now);
+    }
+}
+
+void RetiredServers::add(const RetiredServer &server, TimePoint now)
+{
+    const Entry added{.incarnation = server.incarnation,
+                      .state = server.state,
+                      .retainedUntil = now + std::min(server.retention, this->options.retention)};
+    const auto [known, isNew] = this->servers.emplace(std::pair(server.key, server.identity), added);
+    if (!isNew) {
+        Entry &entry = known->second;
+        const bool later = std::tie(added.incarnation, added.state) > std::tie(entry.incarnation, entry.state);
+        const TimePoint retainedUntil = std::max(entry.retainedUntil, added.retainedUntil);
+        entry = later ? added : entry;
+        entry.retainedUntil = retainedUntil;
+    } else if (this->servers.size() > this->options.maximumEntries) {
+        this->servers.erase(
+            std::ranges::min_element(this->servers, {}, [](const auto &candidate) { return candidate.second.retainedUntil; }));
+    }
+}
+
+BackendState RetiredServers::latestStateOf(const BackendRecord &record) const
 {
+    const auto known = this->servers.find(std::pair(record.key, record.identity));
+    if (known == this->servers.end() || known->second.incarnation < record.incarnation) {
+        return record.state;
+    }
+    // An earlier incarnation than the retired one ended before that began.
+    return known->second.incarnation > record.incarnation ? BackendState::Stopped : std::max(record.state, known->second.state);
 }
 
-void RetiredServers::add(const std::string &identity, Incarnation incarnation, TimePoint now)
+bool RetiredServers::supersedes(const BackendRecord &record) const
 {
-    Retired &known = this->servers[identity];
-    known.incarnation = std::max(known.incarnation, incarnation);
-    known.retainedUntil = now + this->retention;
+    return this->latestStateOf(record) != record.state;
 }
 
-bool RetiredServers::contains(const std::string &identity, Incarnation incarnation, TimePoint now) const
+std::vector<RetiredServer> RetiredServers::all(TimePoint now) const
 {
-    const auto known = this->servers.find(identity);
-    return known != this->servers.end() && now < known->second.retainedUntil && incarnation <= known->second.incarnation;
+    std::vector<RetiredServer> retired;
+    for (const auto &[server, entry] : this->servers) {
+        if (now < entry.retainedUntil) {
+            retired.push_back({.key = server.first,
+                               .identity = server.second,
+                               .incarnation = entry.incarnation,
+                               .state = entry.state,
+                               .retention = toMilliseconds(entry.retainedUntil - now)});
+        }
+    }
+    return retired;
 }
 
 void RetiredServers::expire(TimePoint now)
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -677,6 +677,46 @@
     cr_assert(!installation.hasUnexpectedExit());
 }
 
+// Guards against a control process that was down while servers left, and announces them again from its recovery file.
+Test(platform, servers_that_left_while_a_control_process_was_down_stay_away_when_it_returns)
+{
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    TestServers servers(installation);
+    ServerStandIn leaving("archive", "i-leaving", "z1");
+    cr_assert(installation.putUntilAcknowledged(configuration(7, twoShards)));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    const auto sendToArchive = [&](const std::string &id) {
+        for (const std::string &front : installation.frontNames()) {
+            for (int index = 0; index < 10; ++index) {
+                sendRequest(installation, front, "/one/x", id + front + std::to_string(index));
+            }
+        }
+    };
+    cr_assert(waitUntil([&] {
+        installation.announce(leaving, "ready");
+        sendToArchive("before");
+        return leaving.runs() > 0;
+    }));
+    // The recovery file is written a moment after a change.
+    std::this_thread::sleep_for(1000ms);
+    installation.announce(leaving, "ready");
+    cr_assert(installation.stop("control1", SIGKILL));
+    const Call leave{.address = installation.controlAddress("control2"), .method = "DELETE", .target = "/v1/instances/i-leaving"};
+    cr_assert(waitUntil([&] { return call(leave).status == 200; }));
+    // Longer than a lease, after which the acknowledging process drops the server's record.
+    std::this_thread::sleep_for(3000ms);
+    const std::size_t before = leaving.arrivals();
+    installation.setFoundInstallation(false);
+    installation.start("control1");
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    for (int round = 0; std::chrono::steady_clock::now() < end; ++round) {
+        sendToArchive("after" + std::to_string(round));
+    }
+    cr_assert_eq(leaving.arrivals(), before);
+    cr_assert(!installation.hasUnexpectedExit());
+}
+
 // Guards against a configuration whose lists are of another type, which is acknowledged and answers every request with 404.
 Test(platform, a_configuration_with_null_lists_is_refused_and_changes_nothing)
 {
--- a/tests/unit/control/test_recoveryfile.cpp
+++ b/tests/unit/control/test_recoveryfile.cpp
@@ -22,6 +22,11 @@
     record.sequence = 9;
     record.state = BackendState::Draining;
     hint.servers.push_back(record);
+    hint.retired.push_back({.key = {.service = "s", .group = "", .address = "10.0.0.2:80"},
+                            .identity = "i-2",
+                            .incarnation = 6,
+                            .state = BackendState::Stopped,
+                            .retention = std::chrono::seconds(30)});
     return hint;
 }
 
@@ -41,6 +46,9 @@
     cr_assert(read->view == sampleHint().view);
     cr_assert(read->servers.size() == 1 && read->servers[0].identity == "i-1" && read->servers[0].state == BackendState::Draining);
     cr_assert(read->servers[0].sequence == 9 && read->servers[0].incarnation == 5);
+    cr_assert(read->retired.size() == 1 && read->retired[0].identity == "i-2" && read->retired[0].key.address == "10.0.0.2:80");
+    cr_assert(read->retired[0].incarnation == 6 && read->retired[0].state == BackendState::Stopped);
+    cr_assert(read->retired[0].retention == std::chrono::seconds(30));
 }
 
 // Guards against using a file torn by a power loss: every truncation and every changed byte is detected.
--- a/tests/unit/registry/test_backendregistry.cpp
+++ b/tests/unit/registry/test_backendregistry.cpp
@@ -168,3 +168,141 @@
     cr_assert(peer.applyUpdate(restarted.updateSince(0), start));
     cr_assert(peer.visible().front().state == BackendState::Draining);
 }
+
+namespace {
+
+BackendRecord identifiedServer(unsigned number, BackendState state = BackendState::Ready, std::uint64_t sequence = 1)
+{
+    BackendRecord record = server("a", number, sequence, state);
+    record.identity = "i-" + std::to_string(number);
+    return record;
+}
+
+void replicate(const BackendRegistry &origin, const std::string &name, BackendRegistry &peer, TimePoint now)
+{
+    cr_assert(peer.applyUpdate(origin.updateSince(peer.appliedThrough(name, 1)), now));
+}
+
+} // namespace
+
+// Guards against a restarted process that announces the servers of its recovery file as if they had just renewed their leases.
+Test(registry, a_remembered_server_ends_after_one_lease_and_is_no_sign_of_a_mass_expiry)
+{
+    BackendRegistry registry = registryOf("c1");
+    for (unsigned number = 0; number < 10; ++number) {
+        registry.remember(identifiedServer(number), start);
+    }
+    cr_assert_eq(registry.visible().size(), 10U);
+    cr_assert(registry.announce(identifiedServer(0, BackendState::Ready, 2), start + milliseconds(1000)).has_value());
+    for (int time = 0; time <= 3001; time += 100) {
+        registry.expire(start + milliseconds(time));
+    }
+    cr_assert_eq(registry.visible().size(), 10U);
+    cr_assert(registry.expire(start + milliseconds(3001)));
+    cr_assert(!registry.suspect());
+    cr_assert_eq(registry.visible().size(), 1U);
+}
+
+// Guards against requests to a server that has left, which a process returns with that didn't hear of the leave.
+Test(registry, older_knowledge_does_not_bring_back_a_server_that_has_left)
+{
+    BackendRegistry returning = registryOf("c1");
+    returning.remember(identifiedServer(1), start);
+    returning.remember(identifiedServer(2), start);
+    BackendRegistry holder = registryOf("c2");
+    cr_assert(holder.announce(identifiedServer(1, BackendState::Stopped, 9), start).has_value());
+    BackendRegistry front = registryOf("f1");
+    replicate(holder, "c2", front, start);
+    // The holder drops the record after one lease, and the returning process is heard later.
+    for (int time = 0; time <= 7000; time += 500) {
+        holder.expire(start + milliseconds(time));
+        replicate(holder, "c2", front, start + milliseconds(time));
+        front.expire(start + milliseconds(time));
+    }
+    const TimePoint later = start + milliseconds(7000);
+    replicate(returning, "c1", front, later);
+    cr_assert(front.visible().size() == 1 && front.visible().front().identity == "i-2");
+    cr_assert_eq(front.supersededRecords(), 1U);
+    // A front that starts now learns it with the full update of the holder.
+    BackendRegistry started = registryOf("f2");
+    replicate(returning, "c1", started, later);
+    replicate(holder, "c2", started, later);
+    cr_assert(started.visible().size() == 1 && started.visible().front().identity == "i-2");
+    // Its next run is another server.
+    BackendRecord next = identifiedServer(1);
+    next.incarnation = 2;
+    cr_assert(holder.announce(next, later).has_value());
+    replicate(holder, "c2", front, later);
+    cr_assert_eq(front.visible().size(), 2U);
+}
+
+// Guards against a delayed announcement of a server that has left, at a process that learned of the leave from another.
+Test(registry, a_late_announcement_of_a_server_that_has_left_is_refused_everywhere)
+{
+    BackendRegistry holder = registryOf("c1");
+    BackendRegistry other = registryOf("c2");
+    cr_assert(holder.announce(identifiedServer(1, BackendState::Draining, 5), start).has_value());
+    replicate(holder, "c1", other, start);
+    other.expire(start + milliseconds(3001));
+    cr_assert(other.visible().empty());
+    cr_assert(other.announce(identifiedServer(1, BackendState::Ready, 4), start + milliseconds(3002)).has_error());
+    cr_assert(other.announce(identifiedServer(1, BackendState::Draining, 6), start + milliseconds(3002)).has_value());
+}
+
+// Guards against a process that was paused, takes all its servers for failed at once and keeps them for good.
+Test(registry, leases_of_before_a_pause_end_after_one_more_lease)
+{
+    BackendRegistry registry = registryOf("c1");
+    for (unsigned number = 0; number < 10; ++number) {
+        cr_assert(registry.announce(identifiedServer(number), start).has_value());
+    }
+    registry.expire(start + milliseconds(100));
+    const TimePoint resumed = start + milliseconds(20000);
+    registry.expire(resumed);
+    cr_assert(!registry.suspect());
+    cr_assert_eq(registry.visible().size(), 10U);
+    for (unsigned number = 0; number < 4; ++number) {
+        cr_assert(registry.announce(identifiedServer(number, BackendState::Ready, 2), resumed + milliseconds(1000)).has_value());
+    }
+    for (int time = 100; time <= 3100; time += 100) {
+        registry.expire(resumed + milliseconds(time));
+    }
+    cr_assert_eq(registry.visible().size(), 4U);
+}
+
+// Guards against a mass expiry that is seen although most servers announce themselves to another process.
+Test(registry, servers_that_moved_to_another_origin_are_alive)
+{
+    BackendRegistry registry = registryOf("c1");
+    BackendRegistry other = registryOf("c2");
+    for (unsigned number = 0; number < 10; ++number) {
+        cr_assert(registry.announce(identifiedServer(number), start).has_value());
+    }
+    for (unsigned number = 0; number < 7; ++number) {
+        cr_assert(other.announce(identifiedServer(number, BackendState::Ready, 2), start + milliseconds(1000)).has_value());
+    }
+    for (int time = 0; time <= 8000; time += 100) {
+        const TimePoint now = start + milliseconds(time);
+        replicate(other, "c2", registry, now);
+        registry.expire(now);
+        cr_assert(!registry.suspect());
+    }
+    cr_assert_eq(registry.visible().size(), 7U);
+}
+
+// Guards against servers that are kept for good after all of them have really failed.
+Test(registry, a_mass_expiry_ends_after_its_limit)
+{
+    BackendRegistry registry({.self = "c1", .incarnation = 1, .massExpiryLimit = std::chrono::seconds(60)});
+    for (unsigned number = 0; number < 10; ++number) {
+        cr_assert(registry.announce(identifiedServer(number), start).has_value());
+    }
+    for (int time = 0; time <= 60000; time += 500) {
+        registry.expire(start + milliseconds(time));
+        cr_assert_eq(registry.visible().size(), 10U);
+    }
+    for (int time = 60500; time <= 70000; time += 500) {
+        registry.expire(start + milliseconds(time));
+    }
+    cr_assert(registry.visible().empty() && !registry.suspect());
+}
