Let the test of endless replies wait until the front knows its servers

Seen: endless_replies_of_many_servers_leave_other_callers_served failed in 11 of 25 runs here; fewer than 11 of its 20 servers were reached.

Cause, in the test: an announcement is acknowledged when the control process has it, and the front rebuilds its table at most once in 100 ms. In the failing runs whose log was complete (3), all 100 requests were refused as no_replica within 75 ms of the configuration, before the front had any of the 20 servers. Refusing at once what no server can take, as not run, is what callers should get, so the product stays as it is.

Change: the test waits until the front counts all servers.

--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -545,15 +545,21 @@
     });
 }
 
+std::optional<double> PlatformInstallation::metric(const std::string &name, const std::string &metricName) const
+{
+    const Reply metrics = call({.address = addressOf(this->findNode(name).ip, metricsPort), .target = "/metrics"});
+    const std::size_t line = metrics.body.find("\n" + metricName + "{");
+    const std::size_t value = metrics.body.find("} ", line);
+    if (line == std::string::npos || value == std::string::npos) {
+        return std::nullopt;
+    }
+    return std::strtod(metrics.body.c_str() + value + 1, nullptr);
+}
+
 std::string PlatformInstallation::leader() const
 {
     for (const Node &node : this->nodes) {
-        if (node.front || node.process == 0) {
-            continue;
-        }
-        const Reply metrics = call({.address = addressOf(node.ip, metricsPort), .target = "/metrics"});
-        const std::size_t line = metrics.body.find("\ngalenawell_is_leader{");
-        if (line != std::string::npos && metrics.body.substr(metrics.body.find('}', line), 3) == "} 1") {
+        if (!node.front && node.process != 0 && this->metric(node.name, "galenawell_is_leader") == 1) {
             return node.name;
         }
     }
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -190,6 +191,8 @@
     Reply getConfiguration(const std::string &control) const;
     bool announce(ServerStandIn &server, const std::string &state) const;
     bool announce(const std::string &identity, const std::string &heartbeat) const;
+    // Value of a metric without labels besides the instance; empty if the process doesn't serve it.
+    std::optional<double> metric(const std::string &name, const std::string &metricName) const;
     // Name of the leader of the control group according to the metrics; empty if there is none.
     std::string leader() const;
 
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -472,6 +472,8 @@
             && allFrontsServe(installation);
     }));
     std::atomic<int> answered{0};
+    // An announcement reaches the front a moment after it is acknowledged; requests before that are refused at once.
+    cr_assert(waitUntil([&] { return installation.metric("front1", "galenawell_backend_servers") >= serverCount + 3; }));
     std::vector<std::jthread> callers;
     for (int index = 0; index < callerCount; ++index) {
         callers.emplace_back([&, index] {
