Let entries of unknown services hide no servers

Cause: the front kept one record for each address, the one with the latest start, before it dropped records of services that the configuration doesn't name.

Control processes take at most 15,000 leases, as many as one message holds, and refuse further servers with 503 so that these announce elsewhere; leaves are never refused.

--- a/src/galenawell/core/error.cpp
+++ b/src/galenawell/core/error.cpp
@@ -40,6 +40,7 @@
     KindText{ErrorKind::InvalidReply, "invalid_reply", "check the backend server's version against the protocol page"},
     KindText{ErrorKind::NotFound, "not_found", "check the name"},
     KindText{ErrorKind::MembershipBusy, "membership_busy", "wait until the running membership change is committed"},
+    KindText{ErrorKind::RegistryFull, "registry_full", "announce to another control process; check who announces so many servers"},
     KindText{ErrorKind::Internal, "internal", "report this with the process's log"},
 };
 
--- a/src/galenawell/core/error.h
+++ b/src/galenawell/core/error.h
@@ -36,6 +36,7 @@
     InvalidReply,
     NotFound,
     MembershipBusy,
+    RegistryFull,
     Internal,
 };
 
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -602,7 +602,7 @@
     this->rebuildNeeded = false;
     this->configurationChanged = false;
     this->rebuiltAt = MonotonicClock::now();
-    const std::vector<BackendRecord> servers = this->registry.visible();
+    const std::vector<BackendRecord> servers = usableServers(*this->configuration, this->registry.visible());
     this->table = this->tables.build(*this->configuration, servers, this->frontCount, this->revision, this->rebuiltAt);
     this->metrics->set(GaugeName::BackendServers, static_cast<double>(servers.size()));
     std::vector<std::string> addresses;
@@ -610,8 +610,7 @@
     std::map<std::string, Incarnation> incarnations;
     for (const BackendRecord &server : servers) {
         addresses.push_back(server.key.address);
-        Incarnation &newest = incarnations[server.key.address];
-        newest = std::max(newest, server.incarnation);
+        incarnations.emplace(server.key.address, server.incarnation);
     }
     this->client.retain(addresses);
     if (const std::size_t crashed = this->crashes.onRegistered(incarnations, this->rebuiltAt); crashed > 0) {
--- a/src/galenawell/front/routetables.cpp
+++ b/src/galenawell/front/routetables.cpp
@@ -24,10 +24,13 @@
 
 } // namespace
 
-std::vector<BackendRecord> latestAtEachAddress(const std::vector<BackendRecord> &records)
+std::vector<BackendRecord> usableServers(const RouteConfiguration &configuration, const std::vector<BackendRecord> &records)
 {
     std::map<std::string, const BackendRecord *> latest;
     for (const BackendRecord &record : records) {
+        if (!configuration.services().contains(record.key.service)) {
+            continue;
+        }
         const BackendRecord *&newest = latest[record.key.address];
         if (newest == nullptr || std::tie(record.incarnation, record.sequence) > std::tie(newest->incarnation, newest->sequence)) {
             newest = &record;
@@ -134,10 +137,6 @@
 {
     ReplicasByService replicas;
     for (const BackendRecord &record : records) {
-        const auto service = configuration.services().find(record.key.service);
-        if (service == configuration.services().end()) {
-            continue;
-        }
         TrackedServer &tracked = this->servers[record.key];
         if (tracked.health == nullptr || tracked.incarnation != record.incarnation) {
             if (tracked.health != nullptr) {
@@ -190,12 +189,11 @@
 }
 
 std::shared_ptr<const RoutingTable> RouteTables::build(const RouteConfiguration &configuration,
-                                                       const std::vector<BackendRecord> &allRecords,
+                                                       const std::vector<BackendRecord> &records,
                                                        std::size_t fronts,
                                                        std::uint64_t revision,
                                                        TimePoint now)
 {
-    const std::vector<BackendRecord> records = latestAtEachAddress(allRecords);
     this->removeAbsentServers(records, now);
     const ReplicasByService replicas = this->replicasOf(configuration, records, fronts, now);
     auto table = std::make_shared<RoutingTable>();
--- a/src/galenawell/front/routetables.h
+++ b/src/galenawell/front/routetables.h
@@ -53,7 +53,7 @@
 public:
     explicit RouteTables(RouteTableOptions options);
 
-    // Limits and budgets are divided by the number of fronts.
+    // Takes usable servers. Limits and budgets are divided by the number of fronts.
     std::shared_ptr<const RoutingTable> build(const RouteConfiguration &configuration,
                                               const std::vector<BackendRecord> &records,
                                               std::size_t fronts,
@@ -97,7 +97,8 @@
     std::set<std::string> grantedServices;
 };
 
-// The record with the latest incarnation for each address, because addresses are reused.
-std::vector<BackendRecord> latestAtEachAddress(const std::vector<BackendRecord> &records);
+// The records of the configured services, of these the one with the latest incarnation for each address, because addresses are
+// reused. A record of any other service may come from another writer and must not hide a server.
+std::vector<BackendRecord> usableServers(const RouteConfiguration &configuration, const std::vector<BackendRecord> &records);
 
 } // namespace Galenawell
--- a/src/galenawell/registry/backendregistry.cpp
+++ b/src/galenawell/registry/backendregistry.cpp
@@ -108,6 +108,10 @@
         return makeError(ErrorKind::NumberOutOfOrder,
                          describe(record.key) + " has announced its shutdown; only a new run of it is accepted");
     }
+    const bool isNewHere = record.state != BackendState::Stopped && !this->leases.contains(record.key);
+    if (isNewHere && this->leases.size() >= this->options.maximumLeases) {
+        return makeError(ErrorKind::RegistryFull, std::to_string(this->leases.size()) + " servers announce themselves here");
+    }
     const BackendRecord *visibleNow = this->newest(record.key);
     const BackendRecord *known = visibleNow;
     // Rejects a delayed announcement of a server whose lease just expired.
--- a/src/galenawell/registry/backendregistry.h
+++ b/src/galenawell/registry/backendregistry.h
@@ -86,6 +86,8 @@
     // elsewhere meanwhile isn't used again.
     std::chrono::milliseconds massExpiryLimit{std::chrono::minutes(5)};
     RetiredServersOptions retired{};
+    // Servers that may announce themselves here, so that another writer fills neither the memory nor a message with all of them.
+    std::size_t maximumLeases = 15'000;
 };
 
 class BackendRegistry
--- a/tests/fault/routing/test_serverstatefaults.cpp
+++ b/tests/fault/routing/test_serverstatefaults.cpp
@@ -120,7 +120,7 @@
                 records.push_back(server.record);
             }
         }
-        this->table = this->tables.build(this->configured, records, 1, 1, this->now);
+        this->table = this->tables.build(this->configured, usableServers(this->configured, records), 1, 1, this->now);
     }
 
     void startRequest()
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -1,5 +1,6 @@
 // End-to-end tests of the platform's nodes with real processes: configurations, routed requests, announcements, and losses
 // of processes and disks. The test acts as callers, backend servers and operator.
+#include "galenawell/core/randomsource.h"
 #include "process/platform/platforminstallation.h"
 
 #include <algorithm>
@@ -471,9 +472,9 @@
         return std::ranges::all_of(announced, [&](const auto &server) { return installation.announce(*server, "ready"); })
             && allFrontsServe(installation);
     }));
-    std::atomic<int> answered{0};
     // An announcement reaches the front a moment after it is acknowledged; requests before that are refused at once.
     cr_assert(waitUntil([&] { return installation.metric("front1", "galenawell_backend_servers") >= serverCount + 3; }));
+    std::atomic<int> answered{0};
     std::vector<std::jthread> callers;
     for (int index = 0; index < callerCount; ++index) {
         callers.emplace_back([&, index] {
@@ -737,3 +738,38 @@
     cr_assert(installation.getConfiguration("control2").body == valid.dump());
     cr_assert(allFrontsServe(installation));
 }
+
+// Guards against another writer whose entries, sent again and again with random services, identities and start times for the
+// addresses of living servers, keep these from being used.
+Test(platform, entries_of_another_writer_leave_service_as_it_is)
+{
+    PlatformInstallation installation(3, 2);
+    installation.startAll();
+    TestServers servers(installation);
+    cr_assert(installation.putUntilAcknowledged(configuration(7, twoShards)));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    std::jthread writer([&](const std::stop_token &stop) {
+        const std::vector<std::string> addresses{
+            servers.first.listenAddress(), servers.second.listenAddress(), servers.archive.listenAddress()};
+        RandomSource random(20261206);
+        for (std::uint64_t sequence = 1; !stop.stop_requested(); ++sequence) {
+            const nlohmann::json entry{{"service", "stray" + std::to_string(random.below(20))},
+                                       {"address", addresses[random.below(addresses.size())]},
+                                       {"zone", "z1"},
+                                       {"slots", 1},
+                                       {"state", random.below(2) == 0 ? "ready" : "draining"},
+                                       {"sequence", sequence},
+                                       {"born", random.next() >> 2U}};
+            installation.announce(random.below(2) == 0 ? "i-stray" + std::to_string(random.below(1000)) : "i-first", entry.dump());
+        }
+    });
+    const auto end = std::chrono::steady_clock::now() + 8s;
+    for (int index = 0; std::chrono::steady_clock::now() < end; ++index) {
+        const std::string front = index % 2 == 0 ? "front1" : "front2";
+        const Reply wide = sendRequest(installation, front, "/wide/x", "w" + std::to_string(index));
+        cr_assert(wide.status == 200 && wide.header("Missing-Parts") == "0", "request %d got %u", index, wide.status);
+        cr_assert(sendRequest(installation, front, "/one/x", "o" + std::to_string(index)).status == 200);
+    }
+    writer = {};
+    cr_assert(!installation.hasUnexpectedExit());
+}
--- a/tests/unit/registry/test_backendregistry.cpp
+++ b/tests/unit/registry/test_backendregistry.cpp
@@ -306,3 +306,18 @@
     }
     cr_assert(registry.visible().empty() && !registry.suspect());
 }
+
+// Guards against another writer whose entries fill the memory of a process, and against servers that lose their leases to it.
+Test(registry, the_number_of_leases_is_bounded_and_known_servers_keep_theirs)
+{
+    BackendRegistry registry({.self = "c1", .incarnation = 1, .maximumLeases = 1000});
+    cr_assert(registry.announce(identifiedServer(1), start).has_value());
+    for (unsigned number = 2; number < 100'000; ++number) {
+        const Result<bool> announced = registry.announce(identifiedServer(number), start);
+        cr_assert(announced.has_value() == (number <= 1000));
+        cr_assert(announced.has_value() || announced.error().kind == ErrorKind::RegistryFull);
+    }
+    cr_assert(registry.announce(identifiedServer(1, BackendState::Ready, 2), start + milliseconds(2000)).has_value());
+    cr_assert(registry.announce(identifiedServer(200'000, BackendState::Stopped), start).has_value(), "a leave is never refused");
+    cr_assert_leq(registry.visible().size(), 1000U);
+}
