Close a connection whose reply belongs to another request

Cause: the connection was taken into use again although the reply to its last request was still due.

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -442,8 +442,9 @@
         server->newestRepliedNumber = connection->number;
         server->newestReplyTime = now.time_since_epoch().count();
     }
+    const bool repeatsEcho = !request.echo || findHeader(result.headers, request.echo->name) == request.echo->value;
     // Fresh connections aren't kept: requests that require one never reuse it, so it would occupy a connection of the server.
-    const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled();
+    const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled() && repeatsEcho;
     if (reusable && !request.freshConnection) {
         server->putIdle(connection);
     } else {
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <shared_mutex>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
     std::uint32_t maximumReplyHeaderBytes = 16 * 1024;
     // Uses a new connection, as an idle one may have broken unnoticed; for requests that can't be retried after a lost reply.
     bool freshConnection = false;
+    // Header that the reply to this request repeats. After a reply without it, or with another value, the connection isn't used
+    // again: the reply to this request may still be due on it.
+    std::optional<HttpHeader> echo{};
     // Idle connections to the server beyond minimumIdle are closed after surplusIdleTimeout.
     std::size_t minimumIdle = std::numeric_limits<std::size_t>::max();
     std::chrono::milliseconds surplusIdleTimeout = std::chrono::hours(1);
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -100,6 +100,37 @@
     cr_assert(next.get().status == ExchangeStatus::Completed);
 }
 
+// Guards against a connection that stays one reply behind after a server answered one request twice: each request that follows
+// would get the reply to the one before it.
+Test(backend_client, a_connection_with_the_reply_to_another_request_is_not_used_again)
+{
+    ClientFixture fixture;
+    const auto send = [&fixture](const std::string &id) {
+        ExchangeRequest request{
+            .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
+        request.headers = {{"Id", id}};
+        request.echo = HttpHeader{.name = "Id", .value = id};
+        fixture.handle = std::make_shared<ExchangeHandle>();
+        return fixture.ioThread.start(fixture.client.exchange(std::move(request), fixture.handle));
+    };
+    const auto replyTo = [](const std::string &id) { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok"; };
+    std::future<ExchangeResult> first = send("1");
+    PlainSocket server = fixture.accept();
+    server.readUntil("Id: 1");
+    server.send(replyTo("1"));
+    cr_assert(first.get().status == ExchangeStatus::Completed && fixture.client.idleConnections() == 1);
+    std::future<ExchangeResult> second = send("2");
+    server.readUntil("Id: 2");
+    server.send(replyTo("1"));
+    cr_assert(findHeader(second.get().headers, "Id") == "1");
+    cr_assert_eq(fixture.client.idleConnections(), 0);
+    std::future<ExchangeResult> third = send("3");
+    PlainSocket next = fixture.accept();
+    next.readUntil("Id: 3");
+    next.send(replyTo("3"));
+    cr_assert(findHeader(third.get().headers, "Id") == "3");
+}
+
 // Guards against ejecting a working server because one older connection to it stalled.
 Test(backend_client, a_stalled_connection_beside_a_newer_working_one_is_at_fault)
 {
