Refuse HEAD with 405 and without a body

Cause: a reply to HEAD has no body whatever its length says; neither the parser of servers' replies nor the writer of answers knew.

Change: HEAD is refused at once with 405 and Allow, without a body, and the connection goes on.

--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -62,6 +62,8 @@
     return request;
 }
 
+constexpr unsigned statusMethodNotAllowed = 405;
+
 std::string retryAfterText(std::chrono::milliseconds wait, bool fractional)
 {
     constexpr std::int64_t milli = 1000;
@@ -346,6 +348,17 @@
         // The handler has its own time limits; the stream's timeout would abort a slow response.
         connection.stream.expires_never();
         HttpRequest request = toRequest(parser.release());
+        if (request.method == "HEAD") {
+            // A server's reply to it has no body whatever its length says, which the way to the servers doesn't know.
+            HttpResponse response = this->makeRefusal(RefusalReason::MalformedRequest, "HEAD isn't served");
+            response.status = statusMethodNotAllowed;
+            response.headers.push_back({.name = "Allow", .value = "GET, POST, PUT, PATCH, DELETE"});
+            response.body.clear();
+            co_await this->respond(connection, response, version, keepAlive);
+            --this->requestsInFlight;
+            connection.busy = false;
+            co_return keepAlive &&connection.stream.socket().is_open();
+        }
         request.caller = std::make_shared<CallerConnection>();
         const std::shared_ptr<CallerConnection> caller = request.caller;
         connection.watchingCaller = true;
--- a/tests/unit/transport/test_httpserver.cpp
+++ b/tests/unit/transport/test_httpserver.cpp
@@ -163,3 +163,14 @@
     echo.release();
     cr_assert(contains(busy.readAll(), "echo:b"));
 }
+
+// Guards against a HEAD request that waits for a body until its deadline, and whose answer has one that the caller takes for the
+// next answer on the connection.
+Test(httpserver, a_head_request_is_refused_without_a_body)
+{
+    EchoServer server(HttpServerOptions{});
+    const std::string reply = server.reply("HEAD / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    cr_assert(contains(reply, "HTTP/1.1 405 ") && contains(reply, "Allow: GET, POST"));
+    const std::size_t headEnd = reply.find("\r\n\r\n");
+    cr_assert(reply.substr(headEnd + 4).starts_with("HTTP/1.1 200 "), "%s", reply.c_str());
+}
