End the latest run of a server that leaves

What was seen by the review, in reading: a server that started again under its identifier at another address, and left at once, ended its earlier record; the run that left went on getting requests.

Cause: ControlMember::retire() took the first record of the identifier.

Change: latestRunOf() takes the highest incarnation; a_leave_concerns_the_latest_run_of_an_identity states it.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -916,23 +916,21 @@
 
 LeaveOutcome ControlMember::retire(const std::string &identity)
 {
-    for (const BackendRecord &known : this->registry.visible()) {
-        if (known.identity != identity) {
-            continue;
-        }
-        BackendRecord stopped = known;
-        stopped.state = BackendState::Stopped;
-        // The highest sequence number outdates all announcements of this incarnation that are still in flight.
-        stopped.sequence = std::numeric_limits<std::int64_t>::max();
-        if (const Status announced = this->announce(stopped); !announced) {
-            logger.error("server " + identity + " can't be retired: " + announced.error().message());
-            return LeaveOutcome::UnknownLocally;
-        }
-        return LeaveOutcome::Retired;
-    }
-    const bool gone = this->hasCompleteRegistry();
-    this->events->write(EventKind::State, Event("leave_of_unknown_server").text("identity", identity).flag("gone", gone));
-    return gone ? LeaveOutcome::NotRegistered : LeaveOutcome::UnknownLocally;
+    const std::optional<BackendRecord> known = latestRunOf(identity, this->registry.visible());
+    if (!known) {
+        const bool gone = this->hasCompleteRegistry();
+        this->events->write(EventKind::State, Event("leave_of_unknown_server").text("identity", identity).flag("gone", gone));
+        return gone ? LeaveOutcome::NotRegistered : LeaveOutcome::UnknownLocally;
+    }
+    BackendRecord stopped = *known;
+    stopped.state = BackendState::Stopped;
+    // The highest sequence number outdates all announcements of this incarnation that are still in flight.
+    stopped.sequence = std::numeric_limits<std::int64_t>::max();
+    if (const Status announced = this->announce(stopped); !announced) {
+        logger.error("server " + identity + " can't be retired: " + announced.error().message());
+        return LeaveOutcome::UnknownLocally;
+    }
+    return LeaveOutcome::Retired;
 }
 
 bool ControlMember::hasCompleteRegistry() const
--- a/src/galenawell/registry/retiredservers.cpp
+++ b/src/galenawell/registry/retiredservers.cpp
@@ -7,6 +7,17 @@
 
 namespace Galenawell {
 
+std::optional<BackendRecord> latestRunOf(const std::string &identity, const std::vector<BackendRecord> &records)
+{
+    const BackendRecord *latest = nullptr;
+    for (const BackendRecord &record : records) {
+        if (record.identity == identity && (latest == nullptr || record.incarnation > latest->incarnation)) {
+            latest = &record;
+        }
+    }
+    return latest == nullptr ? std::nullopt : std::optional(*latest);
+}
+
 RetiredServers::RetiredServers(RetiredServersOptions serverOptions)
     : options(serverOptions)
 {
--- a/src/galenawell/registry/retiredservers.h
+++ b/src/galenawell/registry/retiredservers.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,6 +37,9 @@
     std::size_t maximumEntries = 10'000;
 };
 
+// The record of the latest run under the identity, since a server may start again elsewhere before its earlier record ends.
+std::optional<BackendRecord> latestRunOf(const std::string &identity, const std::vector<BackendRecord> &records);
+
 class RetiredServers
 {
 public:
--- a/tests/unit/registry/test_retiredservers.cpp
+++ b/tests/unit/registry/test_retiredservers.cpp
@@ -89,3 +89,14 @@
     }
     cr_assert(first.all(start + 1s).size() == 100 && isRetired(first, "i-999", 5));
 }
+
+// Guards against a leave that ends the earlier run of a server, at another address, in place of the one that leaves.
+Test(retiredservers, a_leave_concerns_the_latest_run_of_an_identity)
+{
+    BackendRecord earlier = server("i-1", 5, BackendState::Ready);
+    BackendRecord later = server("i-1", 6, BackendState::Ready);
+    later.key.address = "127.0.0.1:2";
+    cr_assert(latestRunOf("i-1", {earlier, later})->key.address == "127.0.0.1:2");
+    cr_assert(latestRunOf("i-1", {later, earlier})->key.address == "127.0.0.1:2");
+    cr_assert(!latestRunOf("i-2", {earlier, later}).has_value());
+}
