--- a/tests/fault/claims/test_crashquarantine.cpp
+++ b/tests/fault/claims/test_crashquarantine.cpp
@@ -277,7 +277,7 @@
                   .run(60s);
         cr_assert_leq(result.latePoisonRetries, allowedLateRetries, "seed %u: %zu late retries", seed, result.latePoisonRetries);
     }
-    recordFaultCell("claims", "request crashes servers", "retry", seeds);
+    recordFaultCell("crash quarantine", "request crashes servers", "retry", seeds);
 }
 
 // Guards against innocent requests that lose their retries because they ran on servers that crashed, or whose connections were
@@ -293,7 +293,7 @@
     }
     cr_assert_gt(lost, 1000U);
     cr_assert_leq(withheld * 1000, lost, "%zu of %zu lost requests weren't retried", withheld, lost);
-    recordFaultCell("claims", "mass crash and resets", "retry", seeds);
+    recordFaultCell("crash quarantine", "mass crashes and resets", "retry", seeds);
 }
 
 // Shows that the first test sees fronts that don't learn of the evidence of others.
