Report crash evidence with polls, and only what is new

Cause: each new piece of evidence made a front send all of its evidence to all control processes at once, beside its polls, and each control process listed all suspicions anew for every subscription.

Change: evidence goes with the next poll, at most half a second later for a front that carries traffic, and a report holds what came after the one that the control process has confirmed. Suspicions are listed again only after new evidence. The digest of a request is computed once for all groups. CrashWatch::forget(), which nothing called, is gone.

--- a/src/galenawell/claims/crashwatch.cpp
+++ b/src/galenawell/claims/crashwatch.cpp
@@ -41,7 +41,7 @@
     std::size_t confirmed = 0;
     for (const Timed &loss : this->losses) {
         if (matches(loss.evidence) && !this->isKnown(loss.evidence)) {
-            append(this->evidence, Timed{.evidence = loss.evidence, .at = now}, this->options.maximumEvidence);
+            append(this->evidence, Timed{.evidence = loss.evidence, .at = now, .report = this->number + 1}, this->options.maximumEvidence);
             std::erase_if(this->cleared, [&loss](const Cleared &known) { return known.content == loss.evidence.digest; });
             ++confirmed;
         }
@@ -80,8 +80,8 @@
     }
     if (hadEvidence || wasSuspect) {
         std::erase_if(this->cleared, [&content](const Cleared &known) { return known.content == content; });
-        append(this->cleared, Cleared{.content = content, .at = now}, this->options.maximumCleared);
         ++this->number;
+        append(this->cleared, Cleared{.content = content, .at = now, .report = this->number}, this->options.maximumCleared);
     }
 }
 
@@ -109,19 +109,18 @@
     this->suspects[control] = std::set<ContentDigest>(contents.begin(), contents.end());
 }
 
-void CrashWatch::forget(const InstanceName &control)
-{
-    this->suspects.erase(control);
-}
-
-CrashReport CrashWatch::report() const
+CrashReport CrashWatch::report(std::uint64_t after) const
 {
     CrashReport report{.number = this->number, .evidence = {}, .cleared = {}};
     for (const Timed &known : this->evidence) {
-        report.evidence.push_back(known.evidence);
+        if (known.report > after) {
+            report.evidence.push_back(known.evidence);
+        }
     }
     for (const Cleared &known : this->cleared) {
-        report.cleared.push_back(known.content);
+        if (known.report > after) {
+            report.cleared.push_back(known.content);
+        }
     }
     return report;
 }
--- a/src/galenawell/claims/crashwatch.h
+++ b/src/galenawell/claims/crashwatch.h
@@ -61,10 +61,9 @@
     std::size_t suspectCount() const;
     // Replaces the contents that one control process found suspect.
     void setSuspects(const InstanceName &control, const std::vector<ContentDigest> &contents);
-    // A control process that no longer replies.
-    void forget(const InstanceName &control);
 
-    CrashReport report() const;
+    // What was added after the report with this number.
+    CrashReport report(std::uint64_t after = 0) const;
     std::uint64_t reportNumber() const;
     void expire(TimePoint now);
 
@@ -73,12 +72,15 @@
     {
         CrashEvidence evidence;
         TimePoint at;
+        // Of the first report with this evidence; 0 for a loss.
+        std::uint64_t report = 0;
     };
 
     struct Cleared
     {
         ContentDigest content;
         TimePoint at;
+        std::uint64_t report = 0;
     };
 
     // Moves the losses that match to the evidence.
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -614,6 +614,9 @@
 
 void ControlMember::recordCrashes(const Wire::Subscription &subscription, TimePoint now)
 {
+    if (subscription.crashes.empty() && subscription.clearedContents.empty()) {
+        return;
+    }
     for (const std::string &content : subscription.clearedContents) {
         this->suspectContents.clear(content, now);
     }
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -19,8 +19,6 @@
 constexpr std::chrono::milliseconds tickInterval{100};
 // Short compared with the idle timeout of connections.
 constexpr std::chrono::milliseconds closeIdleInterval{500};
-// Limits the messages when many servers crash at once.
-constexpr std::chrono::milliseconds crashReportInterval{500};
 // After this time without a reply from any control process, records no longer expire. Less than any lease, so that no
 // record expires because of lost contact.
 constexpr std::chrono::milliseconds controlContactTimeout{1300};
@@ -367,7 +365,7 @@
     if (peer.crashReport == this->crashes.reportNumber()) {
         return;
     }
-    const CrashReport report = this->crashes.report();
+    const CrashReport report = this->crashes.report(peer.crashReport);
     subscription.__set_crashReport(static_cast<std::int64_t>(report.number));
     for (const CrashEvidence &evidence : report.evidence) {
         subscription.crashes.push_back(toMessage(evidence));
@@ -394,16 +392,6 @@
     }
 }
 
-void RoutedFront::pushCrashReport(TimePoint now)
-{
-    this->crashes.expire(now);
-    if (this->crashes.reportNumber() != this->pushedCrashReport && now - this->pushedCrashReportAt >= crashReportInterval) {
-        this->pushedCrashReport = this->crashes.reportNumber();
-        this->pushedCrashReportAt = now;
-        this->subscriptions->sendUpdateToAll();
-    }
-}
-
 void RoutedFront::chooseViewSource(TimePoint now)
 {
     std::vector<InstanceName> responding = this->subscriptions->respondedWithin(controlContactTimeout, now);
@@ -631,7 +619,7 @@
             this->client.closeIdle(now);
         }
         this->requestLateView(now);
-        this->pushCrashReport(now);
+        this->crashes.expire(now);
         if (this->rebuildNeeded) {
             this->rebuild();
         }
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -67,8 +67,6 @@
     void updateControlPeer(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint now);
     void addCrashReport(const ControlPeer &peer, Wire::Subscription &subscription) const;
     void updateSuspects(const InstanceName &control, const Wire::SubscriptionReply &reply);
-    // Sends new crash evidence without waiting for the next poll.
-    void pushCrashReport(TimePoint now);
     void chooseViewSource(TimePoint now);
     // Requests the view from another control process if the source is late.
     void requestLateView(TimePoint now);
@@ -93,9 +91,6 @@
     Incarnation incarnation;
     BackendRegistry registry;
     CrashWatch crashes;
-    // Number of the crash report that was last sent to all control processes at once.
-    std::uint64_t pushedCrashReport = 0;
-    TimePoint pushedCrashReportAt;
     RouteTables tables;
     // Shared with the requests in flight, whose routes point into it.
     std::shared_ptr<const RouteConfiguration> configuration;
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -30,10 +30,13 @@
     return scatterOptions;
 }
 
-ContentDigest RoutedRun::digestFor(const std::string &group) const
+ContentDigest RoutedRun::digestFor(const std::string &group)
 {
-    const RoutedRequest &request = *this->options.request;
-    return digestOfContent({group, request.host, request.method, request.target, request.body});
+    if (this->contentDigest.empty()) {
+        const RoutedRequest &request = *this->options.request;
+        this->contentDigest = digestOfContent({request.host, request.method, request.target, request.body});
+    }
+    return digestOfContent({group, this->contentDigest});
 }
 
 Asio::awaitable<ScatterOutcome> RoutedRun::run()
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -65,7 +65,7 @@
     // Tells the crash watch what the end of an exchange shows.
     void noteExchange(const SubrequestSend &send, const ExchangeResult &result, TimePoint sentAt);
     void noteCrashes(const SubrequestSend &send, std::size_t count);
-    ContentDigest digestFor(const std::string &group) const;
+    ContentDigest digestFor(const std::string &group);
     ScatterOptions limitedScatterOptions();
     void handleReply(const SubrequestSend &send, ServerReply reply, std::chrono::microseconds latency);
     void handleFailure(const SubrequestSend &send, const SubrequestFailure &failure);
@@ -74,6 +74,8 @@
 
     RoutedRunOptions options;
     RoutedRunContext context;
+    // Of the request without the group; empty until it is needed.
+    ContentDigest contentDigest;
     Scatter scatter;
     std::map<std::uint64_t, std::shared_ptr<ExchangeHandle>> inFlight;
     std::optional<Asio::steady_timer> timer;
--- a/tests/fault/claims/test_crashquarantine.cpp
+++ b/tests/fault/claims/test_crashquarantine.cpp
@@ -234,8 +234,8 @@
     {
         for (Front &front : this->fronts) {
             front.watch.expire(this->now);
-            const CrashReport report = front.watch.report();
             for (std::size_t index = 0; index < controlCount; ++index) {
+                const CrashReport report = front.watch.report(front.reported[index]);
                 if (front.reported[index] != report.number) {
                     front.reported[index] = report.number;
                     for (const ContentDigest &content : report.cleared) {
--- a/tests/unit/claims/test_crashwatch.cpp
+++ b/tests/unit/claims/test_crashwatch.cpp
@@ -78,6 +78,23 @@
     cr_assert(watch.report().cleared.empty(), "a new crash outdates the success");
 }
 
+// Guards against messages that repeat all evidence with each new piece.
+Test(crashwatch, a_report_holds_what_came_after_the_one_that_was_received)
+{
+    CrashWatch watch;
+    watch.onLost(evidenceOf("c1", "s1"), start);
+    cr_assert(watch.onServerEnded("s1", start) == 1);
+    const std::uint64_t received = watch.reportNumber();
+    cr_assert(watch.report(received).evidence.empty());
+    watch.onLost(evidenceOf("c2", "s2"), start);
+    cr_assert(watch.onServerEnded("s2", start) == 1);
+    watch.onSuccess("c1", start);
+    const CrashReport next = watch.report(received);
+    cr_assert(next.number == received + 2 && next.evidence.size() == 1 && next.evidence.front().digest == "c2");
+    cr_assert(next.cleared == std::vector<ContentDigest>{"c1"});
+    cr_assert(watch.report().evidence.size() == 1, "a control process that starts gets all that still holds");
+}
+
 // Guards against memory and messages that grow with every lost connection.
 Test(crashwatch, what_it_keeps_and_reports_is_bounded)
 {
