--- a/tests/fault/registry/test_departures.cpp
+++ b/tests/fault/registry/test_departures.cpp
@@ -26,7 +26,12 @@
 constexpr auto drainTime = 3000ms;
 // Time after which a process that was disturbed counts as undisturbed.
 constexpr auto contactTime = 4000ms;
+#if defined(__SANITIZE_ADDRESS__)
+// Unoptimised code under the sanitizers runs many times slower.
+constexpr unsigned seeds = 40;
+#else
 constexpr unsigned seeds = 200;
+#endif
 
 // Safeguards that a run may leave out, to show that the invariants detect their absence.
 enum class Safeguard { None, RetiredServers, RememberedLeases };
