--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -286,6 +286,14 @@
 
 Asio::awaitable<HttpResponse> HttpServer::handle(HttpRequest request)
 {
+    if (request.method == "HEAD") {
+        // A server's reply to it has no body whatever its length says, which the way to the servers doesn't know.
+        HttpResponse response = this->makeRefusal(RefusalReason::MalformedRequest, "HEAD isn't served");
+        response.status = statusMethodNotAllowed;
+        response.headers.push_back({.name = "Allow", .value = "GET, POST, PUT, PATCH, DELETE"});
+        response.body.clear();
+        co_return response;
+    }
     try {
         co_return co_await this->handler(std::move(request));
     } catch (const std::exception &) {
@@ -348,17 +356,6 @@
         // The handler has its own time limits; the stream's timeout would abort a slow response.
         connection.stream.expires_never();
         HttpRequest request = toRequest(parser.release());
-        if (request.method == "HEAD") {
-            // A server's reply to it has no body whatever its length says, which the way to the servers doesn't know.
-            HttpResponse response = this->makeRefusal(RefusalReason::MalformedRequest, "HEAD isn't served");
-            response.status = statusMethodNotAllowed;
-            response.headers.push_back({.name = "Allow", .value = "GET, POST, PUT, PATCH, DELETE"});
-            response.body.clear();
-            co_await this->respond(connection, response, version, keepAlive);
-            --this->requestsInFlight;
-            connection.busy = false;
-            co_return keepAlive &&connection.stream.socket().is_open();
-        }
         request.caller = std::make_shared<CallerConnection>();
         const std::shared_ptr<CallerConnection> caller = request.caller;
         connection.watchingCaller = true;
