--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -365,6 +365,11 @@
     // Set by run.sh to the root of the repository.
     const char *root = std::getenv("REVIEW_ROOT");
     const pid_t parent = ::getpid();
+    // Closed by the exec, so that the process is the program itself when start() returns.
+    int started[2] = {-1, -1};
+    if (::pipe2(started, O_CLOEXEC) != 0) {
+        return;
+    }
     const pid_t child = ::fork();
     if (child == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -381,6 +386,11 @@
         ::execve(program, arguments, environment);
         ::_exit(127);
     }
+    ::close(started[1]);
+    char ignored = 0;
+    while (::read(started[0], &ignored, 1) > 0) {
+    }
+    ::close(started[0]);
     node.process = child;
     this->record.line("process " + name + " starts");
 }
