--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -528,13 +528,26 @@
             continue;
         }
         Message request;
-        if (!connection->read(request, false, 5000ms)) {
+        if (this->stopping || !connection->read(request, false, 5000ms)) {
             return;
         }
         this->handler(*connection, request);
     }
 }
 
+void Replica::crash()
+{
+    this->hasCrashed = true;
+    this->stopping = true;
+    this->pinging = false;
+    ::shutdown(this->listener, SHUT_RDWR);
+}
+
+bool Replica::crashed() const
+{
+    return this->hasCrashed;
+}
+
 bool Replica::ping()
 {
     std::string body;
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -168,6 +168,9 @@
     void startPings();
     void stopPings();
     void setState(const std::string &newState);
+    // Ends as a crashed process does: nothing listens any more, and connections end without an answer.
+    void crash();
+    bool crashed() const;
     // Sends one ping now; true if it was acknowledged.
     bool ping();
     const ReplicaOptions &settings() const;
@@ -182,6 +185,7 @@
     Handler handler;
     int listener = -1;
     std::atomic<bool> stopping{false};
+    std::atomic<bool> hasCrashed{false};
     std::atomic<bool> pinging{false};
     std::mutex pingMutex;
     std::string state = "ready";
