--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/6/case.cpp review/7/case.cpp review/8/case.cpp review/9/case.cpp review/10/case.cpp; do
+for source in review/6/scenario.cpp review/7/scenario.cpp review/8/scenario.cpp review/9/scenario.cpp review/10/scenario.cpp; do
     [ -f "$source" ] || continue
     number="$(basename "$(dirname "$source")")"
     g++ -std=c++20 -O1 -pthread -Wall -Wextra -Wno-missing-field-initializers -Ireview/standin-2 "$source" review/standin-2/platform.cpp -o "target/review-2/case-$number"
