--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -111,6 +111,11 @@
     this->close();
 }
 
+bool Connection::ended() const
+{
+    return this->hasEnded;
+}
+
 void Connection::close()
 {
     if (this->descriptor >= 0) {
@@ -163,6 +168,7 @@
     char bytes[16384];
     const ssize_t count = ::recv(this->descriptor, bytes, sizeof bytes, 0);
     if (count <= 0) {
+        this->hasEnded = true;
         return false;
     }
     this->buffer.append(bytes, static_cast<std::size_t>(count));
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -65,12 +65,15 @@
     bool read(Message &message, bool isResponse, Milliseconds timeout);
     // True once there is something to read, or the other side has closed the connection.
     bool waitReadable(Milliseconds timeout) const;
+    // True once the other side has closed or reset the connection.
+    bool ended() const;
     void close();
 
 private:
     bool readMore(TimePoint until);
 
     int descriptor;
+    bool hasEnded = false;
     std::string buffer;
 };
 
