--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -169,6 +169,11 @@
     this->serviceTimeMilliseconds = duration.count();
 }
 
+void ServerStandIn::setAnswerBytes(std::size_t size)
+{
+    this->answerBytes = size;
+}
+
 std::size_t ServerStandIn::abandoned() const
 {
     return this->abandonedCount;
@@ -230,6 +235,7 @@
         request.caller->onClose(nullptr);
     }
     HttpResponse response{.contentType = "application/octet-stream", .body = this->name + std::string(16 - this->name.size() % 16, '.')};
+    response.body.resize(std::max<std::size_t>(response.body.size(), this->answerBytes), '.');
     response.headers = {{"Attempt-Id", id}, {"Server-Stamp", this->name + "." + id}, {"Server-Load", "0,0,1"}};
     if (this->isLeaving) {
         response.headers.push_back({"Server-Leaving", "1"});
@@ -428,6 +434,31 @@
     return addressOf(this->findNode(name).ip, readinessPort);
 }
 
+std::string PlatformInstallation::metricsAddress(const std::string &name) const
+{
+    return addressOf(this->findNode(name).ip, metricsPort);
+}
+
+std::string PlatformInstallation::peerAddress(const std::string &name) const
+{
+    return addressOf(this->findNode(name).ip, peerPort);
+}
+
+std::string PlatformInstallation::ip(const std::string &name) const
+{
+    return this->findNode(name).ip;
+}
+
+pid_t PlatformInstallation::process(const std::string &name) const
+{
+    return this->findNode(name).process;
+}
+
+void PlatformInstallation::setSetting(const std::string &name, const nlohmann::json &value)
+{
+    this->extraSettings[name] = value;
+}
+
 void PlatformInstallation::setFoundInstallation(bool mayFound)
 {
     this->foundInstallation = mayFound;
@@ -454,6 +485,7 @@
         settings["directoryAddress"] = addressOf(node.ip, directoryPort);
         settings["dataFolder"] = (this->folder / node.name).string();
     }
+    settings.update(this->extraSettings);
     std::ofstream(this->folder / (node.name + ".json")) << settings.dump();
 }
 
@@ -565,7 +597,7 @@
 
 std::optional<double> PlatformInstallation::metric(const std::string &name, const std::string &metricName) const
 {
-    const Reply metrics = call({.address = addressOf(this->findNode(name).ip, metricsPort), .target = "/metrics"});
+    const Reply metrics = call({.address = this->metricsAddress(name), .target = "/metrics"});
     const std::size_t line = metrics.body.find("\n" + metricName + "{");
     const std::size_t value = metrics.body.find("} ", line);
     if (line == std::string::npos || value == std::string::npos) {
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -79,6 +79,8 @@
     std::size_t runsOf(const std::string &requestId) const;
     // Service time of the requests that arrive from now on.
     void setServiceTime(std::chrono::milliseconds duration);
+    // Size of the answers from now on.
+    void setAnswerBytes(std::size_t size);
     // Number of requests whose connection closed before the answer.
     std::size_t abandoned() const;
     // Says in all answers from now on that it leaves.
@@ -101,6 +103,7 @@
     std::string announcedAddress;
     std::atomic<std::uint64_t> sequence{0};
     std::atomic<std::int64_t> serviceTimeMilliseconds{0};
+    std::atomic<std::size_t> answerBytes{0};
     std::atomic<std::size_t> abandonedCount{0};
     std::atomic<std::size_t> arrivalCount{0};
     std::atomic<bool> isLeaving{false};
@@ -182,6 +185,8 @@
     // Highest resident memory of a running process so far; 0 if it can't be read.
     std::size_t peakMemoryBytes(const std::string &name) const;
     void setFoundInstallation(bool mayFound);
+    // Adds a setting to those of each process that starts from now on.
+    void setSetting(const std::string &name, const nlohmann::json &value);
 
     std::vector<std::string> controlNames() const;
     std::vector<std::string> frontNames() const;
@@ -189,6 +194,10 @@
     std::string directoryAddress(const std::string &name) const;
     std::string callerAddress(const std::string &name) const;
     std::string readinessAddress(const std::string &name) const;
+    std::string metricsAddress(const std::string &name) const;
+    std::string peerAddress(const std::string &name) const;
+    std::string ip(const std::string &name) const;
+    pid_t process(const std::string &name) const;
 
     Reply putConfiguration(const std::string &control, const nlohmann::json &configuration) const;
     // Tries one control process after the other until one acknowledges; false after the timeout.
@@ -217,6 +226,7 @@
     std::filesystem::path folder;
     std::vector<Node> nodes;
     bool foundInstallation = true;
+    nlohmann::json extraSettings = nlohmann::json::object();
 };
 
 } // namespace Galenawell::Testing
