Bound the memory of the requests of all callers together

What callers saw: many clients that sent chunked bodies and stopped short of their end took a process over the memory of its machine; it ended, and everybody's requests with it. Cause: each request had limits, their sum had none. 1,500 connections of each listener could hold 1 or 3 MiB each for 5 s, besides a read buffer of 256 KiB that took chunk extensions, trailers and pipelined bytes, and whatever waited unread in the kernel. Change: RequestMemory counts what the requests of all listeners of a process hold, asked for before it is used: read buffer, parsed head, body, and answers that the process makes itself. When none is left, incomplete requests are ended by bytes times age; a whole one never is. The reader parses in parts of 16 KiB, bounds framing like that of replies, and stops at 16 KiB of an unfinished chunk header. Listeners have a receive buffer of 32 KiB, set before listen. A refusal is followed by reading on for a moment, so that it isn't lost with a reset. Listeners of readiness, metrics and directory take no bodies and fewer connections. Why it works: the sum is bounded where it grows, for all listeners by one object, and who holds most for longest gives way, so a crowd that stays doesn't keep others out.

--- a/src/galenawell/control/controlprocess.cpp
+++ b/src/galenawell/control/controlprocess.cpp
@@ -119,7 +119,9 @@
         this->traffic);
     this->operatorServer = std::make_shared<HttpServer>(
         this->executor,
-        HttpServerOptions{.address = this->settings.operatorAddress, .maximumConnections = this->settings.maximumConnections},
+        HttpServerOptions{.address = this->settings.operatorAddress,
+                          .maximumConnections = this->settings.maximumConnections,
+                          .memory = std::make_shared<RequestMemory>(this->settings.requestMemoryBytes)},
         [self = this->shared_from_this()](HttpRequest request) { return self->handleHttp(std::move(request)); },
         [self = this->shared_from_this()](RefusalReason reason, const std::string &) {
             self->metrics->countRefusal(reason);
--- a/src/galenawell/core/reasons.cpp
+++ b/src/galenawell/core/reasons.cpp
@@ -36,6 +36,7 @@
     {"caller_left", 499, "nothing; the caller closed the connection before the answer"},
     {"servers_paused", 503, "try again after the stated time"},
     {"servers_at_limit", 503, "try again after the stated time"},
+    {"out_of_request_memory", 503, "try again after the stated time"},
 }};
 
 // In the order of RetryReason.
--- a/src/galenawell/core/reasons.h
+++ b/src/galenawell/core/reasons.h
@@ -41,6 +41,7 @@
     CallerLeft,
     ServersPaused,
     ServersAtLimit,
+    OutOfRequestMemory,
     Count,
 };
 
--- a/src/galenawell/front/frontprocess.cpp
+++ b/src/galenawell/front/frontprocess.cpp
@@ -68,8 +68,9 @@
     const auto refuseCaller = [self](RefusalReason reason, const std::string &detail) {
         return self->queryService->refuse("", Execution::NotRun, reason, detail);
     };
-    const auto options = [self](const Tcp::endpoint &address) {
-        return HttpServerOptions{.address = address, .maximumConnections = self->settings.maximumConnections};
+    const auto memory = std::make_shared<RequestMemory>(this->settings.requestMemoryBytes);
+    const auto options = [self, memory](const Tcp::endpoint &address) {
+        return HttpServerOptions{.address = address, .maximumConnections = self->settings.maximumConnections, .memory = memory};
     };
     this->callerServer = std::make_shared<HttpServer>(
         this->executor,
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -53,6 +53,8 @@
                                     .minimumSamples = 100};
 // Without a latency estimate, a hedge is sent after this fraction of the latency objective; the rest is left for its reply.
 constexpr int initialDelayDivisor = 2;
+// State of a scatter-gather request for each of its groups.
+constexpr std::size_t bytesPerGroup = 1024;
 
 } // namespace
 
@@ -69,7 +71,8 @@
     , metrics(std::move(sharedMetrics))
     , events(std::move(eventLog))
     , traffic(std::make_shared<PeerTraffic>())
-    , client(this->executor, BackendClientOptions{.reconnectAfterCancel = false})
+    , callerMemory(std::make_shared<RequestMemory>(this->settings.requestMemoryBytes))
+    , client(this->executor, BackendClientOptions{.reconnectAfterCancel = false, .replyMemoryBytes = this->settings.replyMemoryBytes})
     , incarnation(newIncarnation())
     , registry(RegistryOptions{.self = this->settings.peerName(), .incarnation = this->incarnation, .lease = this->settings.serverLease()})
     , tables(RouteTableOptions{.location = {.instance = this->settings.instance, .dataCentre = this->settings.dataCentre},
@@ -100,6 +103,7 @@
         this->executor,
         HttpServerOptions{.address = *this->settings.callerAddress,
                           .maximumConnections = this->settings.maximumConnections,
+                          .memory = this->callerMemory,
                           .fractionalRetryAfter = true},
         [self](HttpRequest request) { return self->handle(std::move(request)); },
         [self](RefusalReason reason, const std::string &) {
@@ -124,6 +128,11 @@
     return this->revision > 0 && this->configuration->number() > 0 && !this->drainPolicy;
 }
 
+std::shared_ptr<RequestMemory> RoutedFront::requestMemory() const
+{
+    return this->callerMemory;
+}
+
 Asio::awaitable<void> RoutedFront::pause(std::chrono::milliseconds duration)
 {
     Asio::steady_timer timer(this->executor, duration);
@@ -174,13 +183,16 @@
 Asio::awaitable<HttpResponse> RoutedFront::handle(HttpRequest message)
 {
     const std::shared_ptr<CallerConnection> caller = message.caller;
+    const std::shared_ptr<RequestMemoryHolder> memory = message.memory;
     const auto request = std::make_shared<const RoutedRequest>(this->codec->decodeRequest(std::move(message)));
     this->metrics->count(CounterName::QueriesReceived);
-    HttpResponse response = co_await this->serve(request, caller);
+    HttpResponse response = co_await this->serve(request, caller, memory);
     co_return response;
 }
 
-Asio::awaitable<HttpResponse> RoutedFront::serve(std::shared_ptr<const RoutedRequest> request, std::shared_ptr<CallerConnection> caller)
+Asio::awaitable<HttpResponse> RoutedFront::serve(std::shared_ptr<const RoutedRequest> request,
+                                                 std::shared_ptr<CallerConnection> caller,
+                                                 std::shared_ptr<RequestMemoryHolder> memory)
 {
     const std::shared_ptr<const RouteConfiguration> current = this->configuration;
     if (current->number() == 0) {
@@ -220,6 +232,11 @@
         co_return this->refuse(
             *request, Refusal{.reason = RefusalReason::UnknownService, .execution = Execution::NotRun, .retryAfter = retryAfterRefusal});
     }
+    if (!memory->tryAdd(route->groups.size() * bytesPerGroup)) {
+        co_return this->refuse(
+            *request,
+            Refusal{.reason = RefusalReason::OutOfRequestMemory, .execution = Execution::NotRun, .retryAfter = retryAfterRefusal});
+    }
     options.policies = options.service->groupPolicies.begin()->second;
     this->scatterCount += route->isScatterGather() ? 1 : 0;
     const auto run
--- a/src/galenawell/front/routedfront.h
+++ b/src/galenawell/front/routedfront.h
@@ -49,10 +49,14 @@
 
     // True if this front has a configuration and is not draining.
     bool ready() const;
+    // Shared by all listeners of the process.
+    std::shared_ptr<RequestMemory> requestMemory() const;
 
 private:
     Asio::awaitable<HttpResponse> handle(HttpRequest request);
-    Asio::awaitable<HttpResponse> serve(std::shared_ptr<const RoutedRequest> request, std::shared_ptr<CallerConnection> caller);
+    Asio::awaitable<HttpResponse> serve(std::shared_ptr<const RoutedRequest> request,
+                                        std::shared_ptr<CallerConnection> caller,
+                                        std::shared_ptr<RequestMemoryHolder> memory);
     HttpResponse refuse(const RoutedRequest &request, const Refusal &refusal);
     HttpResponse completeRequest(const RoutedRequest &request, const Route &route, ScatterOutcome outcome, const RoutedRun *run);
     ScatterOptions scatterOptionsFor(const RoutedRequest &request, const Route &route);
@@ -93,6 +97,7 @@
     std::shared_ptr<EventLog> events;
     std::shared_ptr<PeerTraffic> traffic;
     std::shared_ptr<ControlSubscriptions> subscriptions;
+    std::shared_ptr<RequestMemory> callerMemory;
     std::shared_ptr<HttpServer> callerServer;
     BackendClient client;
     // Raised if a control process reports a later incarnation of this front.
--- a/src/galenawell/settings/nodesettings.cpp
+++ b/src/galenawell/settings/nodesettings.cpp
@@ -17,6 +17,7 @@
 constexpr std::array<Choice<std::string_view>, 4> logLevels{{{"debug", "debug"}, {"info", "info"}, {"warn", "warn"}, {"error", "error"}}};
 constexpr DurationRange anyDuration{.minimum = std::chrono::milliseconds(1), .maximum = std::chrono::hours(1)};
 constexpr std::uint16_t defaultMetricsPort = 9464;
+constexpr IntegerRange memoryRange{.minimum = std::uint64_t(1) << 20, .maximum = std::uint64_t(1) << 40};
 // Tolerates lost or late renewals; fronts detect crashes sooner through their own requests.
 constexpr int heartbeatsPerLease = 3;
 // Longer than the longest interval between two messages from a reachable control process.
@@ -149,6 +150,9 @@
     reader.boolean("foundInstallation", settings.foundInstallation);
     reader.integer("toleratedLosses", settings.toleratedLosses, {.minimum = 0, .maximum = 10});
     reader.integer("maximumConnections", settings.maximumConnections, {.minimum = 1, .maximum = 1'000'000});
+    reader.integer("maximumPeerConnections", settings.maximumPeerConnections, {.minimum = 16, .maximum = 1'000'000});
+    reader.integer("requestMemoryBytes", settings.requestMemoryBytes, memoryRange);
+    reader.integer("replyMemoryBytes", settings.replyMemoryBytes, memoryRange);
     std::string_view level = settings.logLevel;
     reader.choice("logLevel", level, std::span<const Choice<std::string_view>>(logLevels));
     settings.logLevel = std::string(level);
--- a/src/galenawell/settings/nodesettings.h
+++ b/src/galenawell/settings/nodesettings.h
@@ -54,7 +54,14 @@
     double extraLoadSlack = 54.0;
     std::chrono::milliseconds extraLoadWindow{10000};
 
+    // Of callers or, at a control process, of backend servers and operators. The other listeners have a part of it each.
     std::size_t maximumConnections = 1500;
+    // Control processes only: connections of other processes.
+    std::size_t maximumPeerConnections = 1536;
+    // What the requests of all listeners may hold together.
+    std::size_t requestMemoryBytes = std::size_t(20) * 1024 * 1024;
+    // Fronts only: what the replies of all backend servers may hold together, until they are passed on.
+    std::size_t replyMemoryBytes = std::size_t(32) * 1024 * 1024;
     std::string logLevel = "info";
 
     // The name by which peers identify this process.
--- a/src/galenawell/settings/processsettings.cpp
+++ b/src/galenawell/settings/processsettings.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t maximumPathLength = 4096;
 constexpr IntegerRange peerCounts{.minimum = 1, .maximum = 16384};
 constexpr IntegerRange threadCounts{.minimum = 1, .maximum = 64};
+constexpr IntegerRange memoryRange{.minimum = std::uint64_t(1) << 20, .maximum = std::uint64_t(1) << 40};
 constexpr IntegerRange connectionCounts{.minimum = 16, .maximum = 65536};
 
 constexpr std::array roles{
@@ -240,6 +241,7 @@
     Detail::readSecrets(reader, settings);
     reader.integer("threads", settings.threads, Detail::threadCounts);
     reader.integer("maximumConnections", settings.maximumConnections, Detail::connectionCounts);
+    reader.integer("requestMemoryBytes", settings.requestMemoryBytes, Detail::memoryRange);
     Detail::readLogLevel(reader, settings);
     Detail::checkOwnAddresses(reader, settings, addresses);
     Detail::readPeers(reader, settings, addresses);
--- a/src/galenawell/settings/processsettings.h
+++ b/src/galenawell/settings/processsettings.h
@@ -50,6 +50,8 @@
     std::string operatorToken;
     unsigned threads = 2;
     std::size_t maximumConnections = 1024;
+    // What the requests of all listeners may hold together.
+    std::size_t requestMemoryBytes = std::size_t(20) * 1024 * 1024;
     std::string logLevel = "info";
 };
 
--- a/src/galenawell/telemetry/metrics.cpp
+++ b/src/galenawell/telemetry/metrics.cpp
@@ -37,6 +37,7 @@
     {"galenawell_granted_requests_total",
      "Requests to limited backend servers that control processes granted to this front, or this one to fronts"},
     {"galenawell_turned_away_by_limits_total", "Subrequests not sent to the server that would be chosen, because of its limit"},
+    {"galenawell_ended_requests_total", "Incomplete requests and unread answers that were ended to make room in memory"},
     {"galenawell_withheld_retries_total", "Retries and hedges not sent because the request has crashed several backend servers"},
     {"galenawell_superseded_records_total", "Records of backend servers received after their announced shutdown"},
     {"galenawell_peer_messages_total", "Messages sent to other galenawell processes"},
@@ -59,6 +60,7 @@
     {"galenawell_suspect_contents", "Contents of requests that have crashed several backend servers"},
     {"galenawell_limited_servers", "Backend servers with a known limit on the requests of all fronts together"},
     {"galenawell_granted_requests_left", "Granted requests to limited backend servers that this front may still send"},
+    {"galenawell_request_memory_bytes", "Memory held by the requests of all listeners"},
     {"galenawell_claims", "Claims in the ledger"},
 }};
 
--- a/src/galenawell/telemetry/metrics.h
+++ b/src/galenawell/telemetry/metrics.h
@@ -37,6 +37,7 @@
     InvalidLimits,
     GrantedRequests,
     TurnedAwayByLimits,
+    EndedRequests,
     WithheldRetries,
     SupersededRecords,
     PeerMessages,
@@ -59,6 +60,7 @@
     SuspectContents,
     LimitedServers,
     GrantedRequestsLeft,
+    RequestMemory,
     Claims,
     Count,
 };
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -1,6 +1,7 @@
 #include "galenawell/transport/backendclient.h"
 
 #include "galenawell/core/endpoint.h"
+#include "galenawell/transport/framinglimit.h"
 
 #include <algorithm>
 #include <charconv>
@@ -16,11 +17,6 @@
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
 // Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
 constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
-// Bytes of a reply besides its body: the head, interim replies, chunk headers and trailers. Bodies in small chunks need several
-// bytes for each byte of the body.
-constexpr std::size_t maximumFramingBytes = std::size_t(64) * 1024;
-constexpr std::size_t maximumFramingPerBodyByte = 8;
-
 // The timeout parameter of a Keep-Alive header field.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
 {
@@ -179,7 +175,7 @@
     // The limit of the body itself is the parser's.
     bool withinLimits(std::size_t bodyBytes) const
     {
-        return this->reserved && this->received <= maximumFramingBytes + (1 + maximumFramingPerBodyByte) * bodyBytes;
+        return this->reserved && framingWithinLimit(this->received, bodyBytes);
     }
 
 private:
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -1,5 +1,6 @@
-#include "galenawell/transport/httpserver.h"
+#include "galenawell/transport/httpconnection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -10,9 +11,20 @@
 
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 constexpr std::chrono::milliseconds writeTimeout{10000};
-// Size of one read while a request is handled.
-constexpr std::size_t pipelinedReadBytes = 4096;
-constexpr std::size_t maximumBufferedBytes = std::size_t(256) * 1024;
+// A caller that has read nothing of its answer for this long is cut off when room is short.
+constexpr std::chrono::milliseconds stalledWriteTime{1000};
+// Size of the read for the first bytes of a request, and of one read while a request is handled.
+constexpr std::size_t firstReadBytes = 4096;
+// Bytes of later requests that are taken while a request is handled; more wait unread.
+constexpr std::size_t maximumPipelinedBytes = std::size_t(16) * 1024;
+// Of each connection, which bounds what arrives and isn't read yet.
+constexpr int receiveBufferBytes = 32 * 1024;
+// Of a refused request, what is read off so that the refusal isn't lost.
+constexpr std::size_t maximumDiscardedBytes = std::size_t(512) * 1024;
+constexpr std::chrono::milliseconds discardTimeout{1000};
+// Refused connections may be as many as 1/n of the others while they are closed.
+constexpr std::size_t closingShareDivisor = 8;
+constexpr std::size_t defaultRequestMemoryBytes = std::size_t(20) * 1024 * 1024;
 
 std::string decodePercent(std::string_view text)
 {
@@ -30,21 +42,6 @@
     return decoded;
 }
 
-std::optional<RefusalReason> refusalFor(Beast::error_code error)
-{
-    if (error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow) {
-        return RefusalReason::RequestTooLarge;
-    }
-    if (error == Beast::error::timeout) {
-        return RefusalReason::SenderTooSlow;
-    }
-    if (error.category() == Http::make_error_code(Http::error::bad_method).category() && error != Http::error::end_of_stream
-        && error != Http::error::partial_message) {
-        return RefusalReason::MalformedRequest;
-    }
-    return std::nullopt;
-}
-
 HttpRequest toRequest(Http::request<Http::string_body> &&message)
 {
     static constexpr std::string_view bearerPrefix = "Bearer ";
@@ -123,27 +120,6 @@
     }
 }
 
-struct HttpServer::Connection
-{
-    explicit Connection(Tcp::socket &&socket)
-        : stream(std::move(socket))
-    {
-    }
-
-    Beast::tcp_stream stream;
-    // Large enough for a pipelined request with its headers.
-    Beast::flat_buffer buffer{maximumBufferedBytes};
-    // False between two requests, when the connection may be closed.
-    std::atomic<bool> busy{false};
-    // Set when requestReadTimeout ends a request; the stream's own timeout would close the socket before the refusal.
-    bool readTimedOut = false;
-    // Number of the pending read of a request; 0 if there is none.
-    std::uint64_t currentRead = 0;
-    std::uint64_t readCount = 0;
-    // Set while watchCaller() waits for the caller to close the connection.
-    bool watchingCaller = false;
-};
-
 HttpServer::HttpServer(Asio::any_io_executor ioExecutor,
                        HttpServerOptions serverOptions,
                        Handler requestHandler,
@@ -154,6 +130,7 @@
     , makeRefusal(std::move(refusalHandler))
     , acceptor(Asio::make_strand(this->executor))
     , limits(std::make_shared<const HttpLimits>(this->options.limits))
+    , memory(this->options.memory != nullptr ? this->options.memory : std::make_shared<RequestMemory>(defaultRequestMemoryBytes))
 {
 }
 
@@ -171,6 +148,8 @@
 {
     this->acceptor.open(this->options.address.protocol());
     this->acceptor.set_option(Asio::socket_base::reuse_address(true));
+    // Connections inherit it; set on a connection, it would come after its first bytes.
+    this->acceptor.set_option(Asio::socket_base::receive_buffer_size(receiveBufferBytes));
     this->acceptor.bind(this->options.address);
     this->acceptor.listen();
     Asio::co_spawn(
@@ -211,7 +190,7 @@
             continue;
         }
         Asio::post(connection->stream.get_executor(), [connection] {
-            if (!connection->busy) {
+            if (connection->phase == ConnectionPhase::Silent || connection->phase == ConnectionPhase::Idle) {
                 connection->stream.cancel();
             }
         });
@@ -239,13 +218,25 @@
     }
 }
 
+Asio::awaitable<void> HttpServer::turnAway(std::shared_ptr<Connection> connection)
+{
+    const std::size_t closing = ++this->closingConnections;
+    if (closing <= std::max<std::size_t>(this->options.maximumConnections / closingShareDivisor, 1)) {
+        HttpResponse response = this->makeRefusal(RefusalReason::TooManyConnections, "the listener has no free connection");
+        if (co_await this->respond(connection, std::move(response), 11, false)) {
+            co_await this->discardUnread(connection);
+        }
+    }
+    --this->closingConnections;
+}
+
 Asio::awaitable<void> HttpServer::serve(std::shared_ptr<Connection> connection)
 {
     const std::size_t count = ++this->openConnections;
-    connection->stream.socket().set_option(Tcp::no_delay(true));
+    Beast::error_code ignored;
+    connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
     if (count > this->options.maximumConnections) {
-        const HttpResponse response = this->makeRefusal(RefusalReason::TooManyConnections, "the listener has no free connection");
-        co_await this->respond(*connection, response, 11, false);
+        co_await this->turnAway(connection);
     } else {
         {
             const std::lock_guard lock(this->connectionsMutex);
@@ -256,32 +247,41 @@
         const std::lock_guard lock(this->connectionsMutex);
         this->connections.erase(connection.get());
     }
-    Beast::error_code ignored;
     connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     --this->openConnections;
 }
 
-Asio::awaitable<Beast::error_code> HttpServer::readRequest(std::shared_ptr<Connection> connection, RequestParser &parser)
+std::shared_ptr<RequestMemoryHolder> HttpServer::makeHolder(const std::shared_ptr<Connection> &connection)
 {
-    connection->stream.expires_never();
-    connection->currentRead = ++connection->readCount;
-    Asio::steady_timer timer(connection->stream.get_executor(), this->limits.load()->requestReadTimeout);
-    timer.async_wait([connection, number = connection->currentRead](const Beast::error_code &error) {
-        if (error || connection->currentRead != number) {
-            return;
+    const auto onStrand = [connection](void (*action)(Connection &)) {
+        return [weak = std::weak_ptr(connection), action, number = connection->requestNumber] {
+            if (const std::shared_ptr<Connection> current = weak.lock()) {
+                Asio::post(current->stream.get_executor(), [current, action, number] {
+                    if (current->requestNumber == number) {
+                        action(*current);
+                    }
+                });
+            }
+        };
+    };
+    const auto end = [](Connection &current) {
+        if (current.phase == ConnectionPhase::Writing) {
+            current.abort();
+        } else if (current.phase == ConnectionPhase::Reading) {
+            current.outOfMemory = true;
+            current.stream.cancel();
+            if (current.memoryWait) {
+                current.memoryWait->cancel();
+            }
         }
-        connection->readTimedOut = true;
-        Beast::error_code ignored;
-        // Ends later reads too, in case the pending one has just completed.
-        connection->stream.socket().shutdown(Tcp::socket::shutdown_receive, ignored);
-        connection->stream.cancel();
-    });
-    auto [error, ignoredBytes] = co_await Http::async_read(connection->stream, connection->buffer, parser, awaitResult);
-    connection->currentRead = 0;
-    if (error && connection->readTimedOut) {
-        co_return Beast::error_code(Beast::error::timeout);
-    }
-    co_return error;
+    };
+    const auto wake = [](Connection &current) {
+        if (current.memoryWait) {
+            current.memoryWait->cancel();
+        }
+    };
+    return std::make_shared<RequestMemoryHolder>(
+        this->memory, RequestMemoryHolder::Callbacks{.end = onStrand(end), .wake = onStrand(wake)}, MonotonicClock::now());
 }
 
 Asio::awaitable<HttpResponse> HttpServer::handle(HttpRequest request)
@@ -310,13 +310,12 @@
         if (!connection->watchingCaller) {
             co_return;
         }
-        const std::size_t available = connection->buffer.max_size() - connection->buffer.size();
-        if (error || available < pipelinedReadBytes) {
+        if (error || connection->buffer.size() + firstReadBytes > maximumPipelinedBytes) {
             co_return;
         }
         Beast::error_code readError;
         socket.non_blocking(true, readError);
-        const std::size_t received = socket.read_some(connection->buffer.prepare(pipelinedReadBytes), readError);
+        const std::size_t received = socket.read_some(connection->buffer.prepare(firstReadBytes), readError);
         connection->buffer.commit(received);
         if (readError && readError != Asio::error::would_block) {
             caller->notifyClosed();
@@ -325,61 +324,107 @@
     }
 }
 
-Asio::awaitable<bool> HttpServer::serveRequest(std::shared_ptr<Connection> sharedConnection)
+// Waits under idleTimeout, so that requestReadTimeout covers one request only.
+Asio::awaitable<bool> HttpServer::waitForRequest(std::shared_ptr<Connection> connection)
 {
-    Connection &connection = *sharedConnection;
-    const std::shared_ptr<const HttpLimits> currentLimits = this->limits.load();
-    RequestParser parser;
-    parser.header_limit(currentLimits->maximumHeaderBytes);
-    parser.body_limit(currentLimits->maximumBodyBytes);
-    if (connection.buffer.size() == 0) {
-        // Waits for the first byte under idleTimeout, so that requestReadTimeout covers one request only.
-        connection.stream.expires_after(currentLimits->idleTimeout);
-        auto [waitError, received] = co_await connection.stream.async_read_some(connection.buffer.prepare(4096), awaitResult);
-        if (waitError) {
-            co_return false;
-        }
-        connection.buffer.commit(received);
+    if (connection->buffer.size() > 0) {
+        co_return true;
+    }
+    // Of an earlier request; idle connections hold no more than they need.
+    connection->buffer.shrink_to_fit();
+    connection->stream.expires_after(this->limits.load()->idleTimeout);
+    auto [error, received] = co_await connection->stream.async_read_some(connection->buffer.prepare(firstReadBytes), awaitResult);
+    connection->buffer.commit(received);
+    co_return !error && !connection->aborted;
+}
+
+Asio::awaitable<bool> HttpServer::serveRequest(std::shared_ptr<Connection> connection)
+{
+    if (!co_await this->waitForRequest(connection)) {
+        co_return false;
     }
-    connection.busy = true;
+    connection->enter(ConnectionPhase::Reading);
+    ++connection->requestNumber;
     ++this->requestsInFlight;
-    const Beast::error_code readError = co_await this->readRequest(sharedConnection, parser);
+    std::optional<RequestRead> read;
+    read.emplace();
+    read->limits = this->limits.load();
+    read->memory = this->makeHolder(connection);
+    const ReadOutcome outcome = co_await this->readRequest(connection, *read);
     bool keepAlive = false;
-    if (readError) {
-        if (const std::optional<RefusalReason> reason = refusalFor(readError)) {
-            const HttpResponse response = this->makeRefusal(*reason, readError.message());
-            co_await this->respond(connection, response, 11, false);
-        }
-    } else {
-        const unsigned version = parser.get().version();
-        keepAlive = parser.get().keep_alive() && !this->stopping;
-        // The handler has its own time limits; the stream's timeout would abort a slow response.
-        connection.stream.expires_never();
-        HttpRequest request = toRequest(parser.release());
-        request.caller = std::make_shared<CallerConnection>();
-        const std::shared_ptr<CallerConnection> caller = request.caller;
-        connection.watchingCaller = true;
-        Asio::co_spawn(
-            connection.stream.get_executor(),
-            [self = this->shared_from_this(), sharedConnection, caller] { return self->watchCaller(sharedConnection, caller); },
-            Asio::detached);
-        const HttpResponse response = co_await this->handle(std::move(request));
-        connection.watchingCaller = false;
-        Beast::error_code ignored;
-        connection.stream.socket().cancel(ignored);
-        keepAlive = keepAlive && !this->stopping && !this->keepAliveDisabled && !response.close;
-        if (caller->closed()) {
-            keepAlive = false;
-        } else {
-            co_await this->respond(connection, response, version, keepAlive);
-        }
+    bool refused = false;
+    if (outcome == ReadOutcome::Complete) {
+        keepAlive = co_await this->handleRequest(connection, *read);
+    } else if (!connection->aborted) {
+        // What the request held is free before its refusal is written, which may take a while.
+        read.reset();
+        refused = co_await this->refuse(connection, outcome);
     }
     --this->requestsInFlight;
-    connection.busy = false;
-    co_return keepAlive &&connection.stream.socket().is_open();
+    if (refused) {
+        co_await this->discardUnread(connection);
+    }
+    if (keepAlive) {
+        connection->enter(ConnectionPhase::Idle);
+    }
+    co_return keepAlive && connection->stream.socket().is_open();
+}
+
+Asio::awaitable<bool> HttpServer::handleRequest(std::shared_ptr<Connection> connection, RequestRead &read)
+{
+    const unsigned version = read.parser.get().version();
+    bool keepAlive = read.parser.get().keep_alive() && !this->stopping;
+    // The handler has its own time limits; the stream's timeout would abort a slow response.
+    connection->stream.expires_never();
+    connection->enter(ConnectionPhase::Handling);
+    HttpRequest request = toRequest(read.parser.release());
+    request.caller = std::make_shared<CallerConnection>();
+    request.memory = read.memory;
+    const std::shared_ptr<CallerConnection> caller = request.caller;
+    connection->watchingCaller = true;
+    Asio::co_spawn(
+        connection->stream.get_executor(),
+        [self = this->shared_from_this(), connection, caller] { return self->watchCaller(connection, caller); },
+        Asio::detached);
+    HttpResponse response = co_await this->handle(std::move(request));
+    connection->watchingCaller = false;
+    Beast::error_code ignored;
+    connection->stream.socket().cancel(ignored);
+    keepAlive = keepAlive && !this->stopping && !this->keepAliveDisabled && !response.close;
+    if (caller->closed()) {
+        co_return false;
+    }
+    connection->enter(ConnectionPhase::Writing);
+    read.memory->setWriting(MonotonicClock::now() + stalledWriteTime);
+    co_await this->respond(connection, std::move(response), version, keepAlive);
+    co_return keepAlive;
+}
+
+Asio::awaitable<bool> HttpServer::refuse(std::shared_ptr<Connection> connection, ReadOutcome outcome)
+{
+    struct Reason
+    {
+        RefusalReason reason;
+        const char *detail;
+    };
+    static constexpr std::array<std::pair<ReadOutcome, Reason>, 4> reasons{{
+        {ReadOutcome::TimedOut, {RefusalReason::SenderTooSlow, "the request did not arrive in time"}},
+        {ReadOutcome::TooLarge, {RefusalReason::RequestTooLarge, "the request exceeds a limit"}},
+        {ReadOutcome::Malformed, {RefusalReason::MalformedRequest, "the request can't be read"}},
+        {ReadOutcome::OutOfMemory, {RefusalReason::OutOfRequestMemory, "the requests of all callers hold too much memory"}},
+    }};
+    const auto found = std::ranges::find(reasons, outcome, &std::pair<ReadOutcome, Reason>::first);
+    if (found == reasons.end()) {
+        co_return false;
+    }
+    connection->enter(ConnectionPhase::Closing);
+    connection->buffer.clear();
+    connection->buffer.shrink_to_fit();
+    HttpResponse response = this->makeRefusal(found->second.reason, found->second.detail);
+    co_return co_await this->respond(connection, std::move(response), 11, false);
 }
 
-Asio::awaitable<void> HttpServer::respond(Connection &connection, const HttpResponse &response, unsigned version, bool keepAlive)
+Asio::awaitable<bool> HttpServer::respond(std::shared_ptr<Connection> connection, HttpResponse response, unsigned version, bool keepAlive)
 {
     Http::response<Http::string_body> message{static_cast<Http::status>(response.status), version};
     if (!response.contentType.empty()) {
@@ -391,11 +436,38 @@
     for (const HttpHeader &header : response.headers) {
         message.insert(header.name, header.value);
     }
-    message.body() = response.body;
+    message.body() = std::move(response.body);
     message.keep_alive(keepAlive);
     message.prepare_payload();
-    connection.stream.expires_after(writeTimeout);
-    co_await Http::async_write(connection.stream, message, awaitResult);
+    Http::response_serializer<Http::string_body> serializer(message);
+    connection->stream.expires_after(writeTimeout);
+    while (!serializer.is_done()) {
+        auto [error, written] = co_await Http::async_write_some(connection->stream, serializer, awaitResult);
+        if (error || connection->aborted) {
+            co_return false;
+        }
+        // Closing connections keep their phase.
+        if (connection->phase == ConnectionPhase::Writing) {
+            connection->enter(ConnectionPhase::Writing);
+        }
+    }
+    co_return true;
+}
+
+Asio::awaitable<void> HttpServer::discardUnread(std::shared_ptr<Connection> connection)
+{
+    Beast::error_code ignored;
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    connection->stream.expires_after(discardTimeout);
+    std::size_t discarded = 0;
+    while (discarded < maximumDiscardedBytes && !connection->aborted) {
+        connection->buffer.clear();
+        auto [error, received] = co_await connection->stream.async_read_some(connection->buffer.prepare(firstReadBytes), awaitResult);
+        if (error) {
+            co_return;
+        }
+        discarded += received;
+    }
 }
 
 } // namespace Galenawell
--- a/src/galenawell/transport/httpserver.h
+++ b/src/galenawell/transport/httpserver.h
@@ -1,11 +1,13 @@
-// HTTP/1.1 server for callers, backend servers and operators. Limits connections, headers, bodies and read times; passes
-// complete requests to a handler.
+// HTTP/1.1 server for callers, backend servers and operators. Limits connections, headers, bodies, read times and the memory of all
+// requests together; passes complete requests to a handler. When connections or memory are short, those end first that have been
+// idle or incomplete, so that clients that misuse the listener don't keep the others out.
 #pragma once
 
 #include "galenawell/core/clock.h"
 #include "galenawell/core/reasons.h"
 #include "galenawell/transport/asio.h"
 #include "galenawell/transport/httpheader.h"
+#include "galenawell/transport/requestmemory.h"
 
 #include <atomic>
 #include <chrono>
@@ -51,6 +53,9 @@
     TimePoint receivedAt;
     // Never null in a request that the server passes to a handler.
     std::shared_ptr<CallerConnection> caller;
+    // What the request holds until its answer is written; the handler adds large results of its own. Never null in a request that
+    // the server passes to a handler.
+    std::shared_ptr<RequestMemoryHolder> memory;
 
     // Value of the first header with this name, in any case; empty if there is none.
     std::string_view header(std::string_view name) const;
@@ -80,9 +85,16 @@
 
 struct HttpServerOptions
 {
+    // Largest body of a request with this method and path.
+    using BodyLimit = std::function<std::uint64_t(std::string_view method, std::string_view path)>;
+
     Tcp::endpoint address;
     std::size_t maximumConnections = 1024;
     HttpLimits limits{};
+    // Holds besides the limit of all requests; none if empty.
+    BodyLimit bodyLimit{};
+    // Shared by the servers of a process. If null, the server has one of its own.
+    std::shared_ptr<RequestMemory> memory{};
     // Sends Retry-After in fractional seconds, for callers that parse them; else in whole seconds, rounded up.
     bool fractionalRetryAfter = false;
 };
@@ -111,18 +123,34 @@
 
 private:
     struct Connection;
+    struct RequestRead;
+    enum class ReadOutcome : std::uint8_t { Complete, Closed, TimedOut, TooLarge, Malformed, OutOfMemory };
+    using RequestParser = Http::request_parser<Http::string_body>;
 
     Asio::awaitable<void> acceptLoop();
     Asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
-    using RequestParser = Http::request_parser<Http::string_body>;
-
-    // Reports requestReadTimeout as Beast::error::timeout and leaves the connection open for the refusal.
-    Asio::awaitable<Beast::error_code> readRequest(std::shared_ptr<Connection> connection, RequestParser &parser);
+    // Answers a connection that isn't served, unless too many are being closed already.
+    Asio::awaitable<void> turnAway(std::shared_ptr<Connection> connection);
+    Asio::awaitable<bool> waitForRequest(std::shared_ptr<Connection> connection);
+    // Leaves the connection open for a refusal.
+    Asio::awaitable<ReadOutcome> readRequest(std::shared_ptr<Connection> connection, RequestRead &read);
+    Asio::awaitable<ReadOutcome> readParts(std::shared_ptr<Connection> connection, RequestRead &read);
+    // Passes what the connection has buffered to the parser.
+    Asio::awaitable<ReadOutcome> parseBuffered(std::shared_ptr<Connection> connection, RequestRead &read, Beast::error_code &error);
+    static Asio::awaitable<ReadOutcome> reserve(std::shared_ptr<Connection> connection, RequestRead &read, std::size_t bytes);
+    bool applyBodyLimit(RequestRead &read) const;
+    std::shared_ptr<RequestMemoryHolder> makeHolder(const std::shared_ptr<Connection> &connection);
     Asio::awaitable<HttpResponse> handle(HttpRequest request);
     // Detects that the caller closes its connection while its request is handled. Buffers bytes of a pipelined request.
     Asio::awaitable<void> watchCaller(std::shared_ptr<Connection> connection, std::shared_ptr<CallerConnection> caller);
-    Asio::awaitable<bool> serveRequest(std::shared_ptr<Connection> sharedConnection);
-    Asio::awaitable<void> respond(Connection &connection, const HttpResponse &response, unsigned version, bool keepAlive);
+    Asio::awaitable<bool> serveRequest(std::shared_ptr<Connection> connection);
+    Asio::awaitable<bool> handleRequest(std::shared_ptr<Connection> connection, RequestRead &read);
+    // True if the refusal is written.
+    Asio::awaitable<bool> refuse(std::shared_ptr<Connection> connection, ReadOutcome outcome);
+    // False if the response can't be written.
+    Asio::awaitable<bool> respond(std::shared_ptr<Connection> connection, HttpResponse response, unsigned version, bool keepAlive);
+    // Reads on for a moment after a refusal: a connection that is closed with unread bytes is reset, and the refusal is lost.
+    Asio::awaitable<void> discardUnread(std::shared_ptr<Connection> connection);
     void closeIdle();
 
     Asio::any_io_executor executor;
@@ -132,11 +160,14 @@
     Tcp::acceptor acceptor;
     std::atomic<std::size_t> requestsInFlight{0};
     std::atomic<std::size_t> openConnections{0};
+    // Of these, the ones that are closed after a refusal.
+    std::atomic<std::size_t> closingConnections{0};
     std::atomic<bool> stopping{false};
     std::atomic<bool> keepAliveDisabled{false};
     std::atomic<std::shared_ptr<const HttpLimits>> limits;
+    std::shared_ptr<RequestMemory> memory;
     std::mutex connectionsMutex;
-    // Every open connection, so that stop() can close the idle ones.
+    // Every open connection, so that others than the newest can be closed.
     std::map<Connection *, std::weak_ptr<Connection>> connections;
 };
 
--- a/tests/unit/transport/test_httpserver.cpp
+++ b/tests/unit/transport/test_httpserver.cpp
@@ -1,7 +1,10 @@
 #include "galenawell/transport/httpserver.h"
 #include "loopback.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <sstream>
 
 using namespace Galenawell;
 using namespace Galenawell::Testing;
@@ -132,6 +135,40 @@
     cr_assert(contains(echo.reply(post("/", "b")), "echo:b"));
 }
 
+// Guards against a reader that depends on how a body is cut into chunks, or how its bytes arrive.
+Test(http_server, any_chunks_and_any_reads_give_the_same_request)
+{
+    EchoServer echo({.limits = {.maximumHeaderBytes = 4096, .maximumBodyBytes = 100'000}});
+    const bool holds = rc::check([&echo] {
+        std::string body;
+        std::ostringstream text;
+        text << "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const int largest = *rc::gen::element(1, 50, 20'000);
+        for (int chunks = *rc::gen::inRange(0, 5); chunks > 0; --chunks) {
+            const auto size = static_cast<std::size_t>(*rc::gen::inRange(1, largest + 1));
+            const std::string chunk(size, static_cast<char>('a' + chunks));
+            text << std::hex << size << *rc::gen::element<std::string>("", ";name=value") << "\r\n" << chunk << "\r\n";
+            body += chunk;
+        }
+        text << "0\r\n" << *rc::gen::element<std::string>("", "Trailer-Field: value\r\n") << "\r\n";
+        const std::string message = text.str();
+        PlainSocket client = echo.connect();
+        client.socket.set_option(Tcp::no_delay(true));
+        const auto part = static_cast<std::size_t>(*rc::gen::element(1, 7, 1000, 100'000));
+        const std::size_t parts = *rc::gen::inRange<std::size_t>(1, 30);
+        std::size_t sent = 0;
+        for (std::size_t index = 1; index < parts && sent < message.size(); ++index) {
+            client.send(message.substr(sent, part));
+            sent += std::min(part, message.size() - sent);
+        }
+        client.send(message.substr(sent));
+        const std::string reply = client.readAll();
+        RC_ASSERT(reply.starts_with("HTTP/1.1 200 "));
+        RC_ASSERT(reply.substr(reply.find("\r\n\r\n") + 4) == "echo:" + body);
+    });
+    cr_assert(holds);
+}
+
 // Guards against validation of the body by the server, which is the handler's task.
 Test(http_server, truncated_json_reaches_the_handler)
 {
