Send one copy of a request's body and headers to all groups

Cause: the body and the headers were copied for each group and each retry, into a message that lived until the reply was there: 14 MB for a body of 256 KB and 54 groups. Change: the request's content is immutable and shared by all its sends; a send holds the head as text, until it is written.

--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -11,6 +11,7 @@
 #include "galenawell/transport/httpserver.h"
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -28,9 +29,8 @@
     std::optional<std::chrono::milliseconds> timeLeft;
     std::string method;
     std::string target;
-    // Headers to forward to backend servers.
-    std::vector<HttpHeader> headers;
-    std::string body;
+    // What is forwarded to backend servers. Never null.
+    std::shared_ptr<const SharedContent> content;
     TimePoint receivedAt;
 };
 
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -35,7 +35,7 @@
 {
     if (this->contentDigest.empty()) {
         const RoutedRequest &request = *this->options.request;
-        this->contentDigest = digestOfContent({request.host, request.method, request.target, request.body});
+        this->contentDigest = digestOfContent({request.host, request.method, request.target, request.content->body});
     }
     return digestOfContent({group, this->contentDigest});
 }
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -4,6 +4,7 @@
 #include "galenawell/transport/framinglimit.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <set>
 
@@ -17,6 +18,7 @@
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
 // Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
 constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
+
 // The timeout parameter of a Keep-Alive header field.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
 {
@@ -42,10 +44,22 @@
     return error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow;
 }
 
-Http::request<Http::string_body> makeMessage(ExchangeRequest &request)
+const std::string &bodyOf(const ExchangeRequest &request)
+{
+    return request.shared != nullptr ? request.shared->body : request.body;
+}
+
+// Request line and headers. As text, since parsed fields would take many times as much while the request is sent.
+std::string encodeHead(const ExchangeRequest &request)
 {
-    Http::request<Http::string_body> message{Http::verb::unknown, request.target, 11};
+    using Body = Http::span_body<const char>;
+    Http::request<Body> message{Http::verb::unknown, request.target, 11};
     message.method_string(request.method);
+    if (request.shared != nullptr) {
+        for (const HttpHeader &header : request.shared->headers) {
+            message.insert(header.name, header.value);
+        }
+    }
     for (const HttpHeader &header : request.headers) {
         message.insert(header.name, header.value);
     }
@@ -55,9 +69,14 @@
     if (!request.contentType.empty()) {
         message.set(Http::field::content_type, request.contentType);
     }
-    message.body() = std::move(request.body);
+    message.body() = {bodyOf(request).data(), bodyOf(request).size()};
     message.prepare_payload();
-    return message;
+    Http::request_serializer<Body> serializer(message);
+    serializer.split(true);
+    std::string head;
+    Beast::error_code ignored;
+    serializer.next(ignored, [&head](Beast::error_code &, const auto &buffers) { head = Beast::buffers_to_string(buffers); });
+    return head;
 }
 
 } // namespace
@@ -390,8 +409,10 @@
         stream.socket().set_option(Tcp::no_delay(true), ignored);
         connection->number = server->nextNumber++;
     }
-    const Http::request<Http::string_body> message = makeMessage(request);
-    auto [writeError, written] = co_await Http::async_write(stream, message, awaitResult);
+    std::string head = encodeHead(request);
+    const std::array<Asio::const_buffer, 2> message{Asio::buffer(head), Asio::buffer(bodyOf(request))};
+    auto [writeError, written] = co_await Asio::async_write(stream, message, awaitResult);
+    head = std::string();
     if (writeError && written == 0) {
         // No byte was sent, so the server can't have run the request.
         result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -34,6 +34,13 @@
     Cancelled,
 };
 
+// What all exchanges of one request send alike. One copy serves them, however many servers the request goes to.
+struct SharedContent
+{
+    std::vector<HttpHeader> headers{};
+    std::string body{};
+};
+
 struct ExchangeRequest
 {
     // "IP:port".
@@ -45,6 +52,8 @@
     // If empty, no Content-Type is added.
     std::string contentType = "application/json";
     std::string body;
+    // If set, sent besides the headers and in place of the body.
+    std::shared_ptr<const SharedContent> shared{};
     TimePoint expiry;
     // Of the connection attempt, besides the expiry.
     std::chrono::milliseconds connectTimeout = std::chrono::hours(1);
--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -54,14 +54,14 @@
     server.key.address = "10.0.0.1:80";
     server.identity = "i-7";
     const ExchangeRequest sent = codec.encodeSubrequest(request, server, 450ms);
-    cr_assert(sent.method == "POST" && sent.target == "/a/b?x=%20y" && sent.body == "body" && sent.address == "10.0.0.1:80");
-    cr_assert(findHeader(sent.headers, "attempt-id") == "id1");
+    cr_assert(sent.method == "POST" && sent.target == "/a/b?x=%20y" && sent.shared->body == "body" && sent.address == "10.0.0.1:80");
+    cr_assert(findHeader(sent.shared->headers, "attempt-id") == "id1");
     cr_assert(findHeader(sent.headers, "Time-Remaining") == "450");
     cr_assert(findHeader(sent.headers, "Expected-Instance") == "i-7");
-    cr_assert(findHeader(sent.headers, "X-Kept") == "2");
+    cr_assert(findHeader(sent.shared->headers, "X-Kept") == "2");
     cr_assert(sent.echo.has_value() && sent.echo->name == "Attempt-Id" && sent.echo->value == "id1");
     for (const char *dropped : {"Connection", "X-Hop", "Content-Length", "Transfer-Encoding"}) {
-        cr_assert(findHeader(sent.headers, dropped).empty(), "%s", dropped);
+        cr_assert(findHeader(sent.headers, dropped).empty() && findHeader(sent.shared->headers, dropped).empty(), "%s", dropped);
     }
 }
 
