Let the least useful connection give way to a new one

What callers saw: as many silent connections as a listener allows kept everybody else out until the idle timeout, again and again; on the readiness listener the front counted as not ready, on the control listener servers and operators got no answer. Cause: above the limit, whoever came last was refused. Change: a connection above the limit takes the place of one that is being closed, has sent nothing for a second, is idle, is sending a request, or doesn't read its answer, in this order and the oldest first. Why it works: a silent connection can't hold its place against one that comes, and an ordinary one brings its request within a second.

--- a/src/galenawell/transport/httpconnection.h
+++ b/src/galenawell/transport/httpconnection.h
@@ -53,6 +53,8 @@
     // Both are read by other threads.
     std::atomic<ConnectionPhase> phase{ConnectionPhase::Silent};
     std::atomic<Duration::rep> phaseSince{MonotonicClock::now().time_since_epoch().count()};
+    // Chosen to be closed in place of a newer connection.
+    std::atomic<bool> replaced{false};
 
     // Used only on the connection's strand.
     bool aborted = false;
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds discardTimeout{1000};
 // Refused connections may be as many as 1/n of the others while they are closed.
 constexpr std::size_t closingShareDivisor = 8;
+// A connection without a request that is younger than this may have one on the way.
+constexpr std::chrono::milliseconds firstRequestTime{1000};
 constexpr std::size_t defaultRequestMemoryBytes = std::size_t(20) * 1024 * 1024;
 
 std::string decodePercent(std::string_view text)
@@ -218,6 +220,45 @@
     }
 }
 
+bool HttpServer::makeRoom()
+{
+    const std::lock_guard lock(this->connectionsMutex);
+    const TimePoint now = MonotonicClock::now();
+    // The least useful connection is closed: by phase, then by the time in it.
+    using Rank = std::pair<int, Duration>;
+    const auto rank = [now](const Connection &connection) -> std::optional<Rank> {
+        const Duration time = connection.timeInPhase(now);
+        const ConnectionPhase phase = connection.phase;
+        if (connection.replaced || phase == ConnectionPhase::Handling || (phase == ConnectionPhase::Writing && time < stalledWriteTime)) {
+            return std::nullopt;
+        }
+        const bool mayHaveRequest = phase == ConnectionPhase::Silent && time < firstRequestTime;
+        const int order = mayHaveRequest ? static_cast<int>(ConnectionPhase::Idle) * 2 + 1 : static_cast<int>(phase) * 2;
+        return Rank(-order, time);
+    };
+    std::shared_ptr<Connection> chosen;
+    std::optional<Rank> highest;
+    for (auto &[pointer, weak] : this->connections) {
+        const std::shared_ptr<Connection> connection = weak.lock();
+        const std::optional<Rank> own = connection == nullptr ? std::nullopt : rank(*connection);
+        if (own && (!highest || *own > *highest)) {
+            highest = own;
+            chosen = connection;
+        }
+    }
+    if (chosen == nullptr) {
+        return false;
+    }
+    chosen->replaced = true;
+    Asio::post(chosen->stream.get_executor(), [chosen] {
+        // A request may have arrived whole in the meantime.
+        if (chosen->phase != ConnectionPhase::Handling) {
+            chosen->abort();
+        }
+    });
+    return true;
+}
+
 Asio::awaitable<void> HttpServer::turnAway(std::shared_ptr<Connection> connection)
 {
     const std::size_t closing = ++this->closingConnections;
@@ -235,7 +276,7 @@
     const std::size_t count = ++this->openConnections;
     Beast::error_code ignored;
     connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
-    if (count > this->options.maximumConnections) {
+    if (count > this->options.maximumConnections && !this->makeRoom()) {
         co_await this->turnAway(connection);
     } else {
         {
--- a/src/galenawell/transport/httpserver.h
+++ b/src/galenawell/transport/httpserver.h
@@ -129,6 +129,8 @@
 
     Asio::awaitable<void> acceptLoop();
     Asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+    // True if a connection is left for the newest one, if need be because another is being closed.
+    bool makeRoom();
     // Answers a connection that isn't served, unless too many are being closed already.
     Asio::awaitable<void> turnAway(std::shared_ptr<Connection> connection);
     Asio::awaitable<bool> waitForRequest(std::shared_ptr<Connection> connection);
