Stop serving a connection whose caller is gone

What callers saw: after clients that had pipelined 250 KB of small requests were gone, a front went on for tens of seconds with a whole core, answered no one, and would have passed their unsafe requests on to servers. Cause: respond() dropped the error of its write, so the connection went on with what was buffered. Change: a response that can't be written ends the connection. A new case of test-transport counts the requests served after the caller's reset. Why it works: the first answer to a caller that is gone fails, and nothing behind it is read.

--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -437,8 +437,9 @@
     }
     connection->enter(ConnectionPhase::Writing);
     read.memory->setWriting(MonotonicClock::now() + stalledWriteTime);
-    co_await this->respond(connection, std::move(response), version, keepAlive);
-    co_return keepAlive;
+    const bool written = co_await this->respond(connection, std::move(response), version, keepAlive);
+    // The caller of a request that can't be answered is gone; what it sent after it isn't served either.
+    co_return keepAlive &&written;
 }
 
 Asio::awaitable<bool> HttpServer::refuse(std::shared_ptr<Connection> connection, ReadOutcome outcome)
--- a/tests/unit/transport/test_httpserver.cpp
+++ b/tests/unit/transport/test_httpserver.cpp
@@ -55,6 +55,7 @@
     }
 
     std::promise<void> handlerWaiting;
+    std::atomic<int> counted{0};
     Asio::io_context clients;
     IoThread ioThread;
     std::shared_ptr<HttpServer> server;
@@ -66,6 +67,9 @@
             this->handlerWaiting.set_value();
             co_await this->waitTimer.async_wait(awaitResult);
         }
+        if (request.path == "/count") {
+            ++this->counted;
+        }
         if (request.path == "/throw") {
             throw std::runtime_error("handler failed");
         }
@@ -182,6 +186,28 @@
     cr_assert(idle.readAll().empty());
 }
 
+// Guards against requests that are served after their caller has gone.
+Test(http_server, pipelined_requests_of_a_caller_that_has_gone_are_not_served)
+{
+    EchoServer echo({});
+    {
+        PlainSocket caller = echo.connect();
+        std::string requests = post("/wait", "", "");
+        for (int index = 0; index < 100; ++index) {
+            requests += post("/count", "", "");
+        }
+        caller.send(requests);
+        echo.handlerWaiting.get_future().wait();
+        // Closing resets the connection instead of ending it, as if the caller's process had been killed.
+        caller.socket.set_option(Asio::socket_base::linger(true, 0));
+    }
+    echo.release();
+    while (echo.server->connectionCount() > 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    cr_assert_eq(echo.counted.load(), 0);
+}
+
 // Guards against validation of the body by the server, which is the handler's task.
 Test(http_server, truncated_json_reaches_the_handler)
 {
