Count replies as held until they are passed on

What callers saw: callers that asked for large answers and didn't read them took a front over its memory. Cause: ReplyMemory counted a reply only while it was being read from the server; then it was held for up to 10 s, uncounted. Change: the reservation of a reply goes along with it until the answer is written. Once three quarters of the memory are used, callers that have read nothing for a second are cut off. replyMemoryBytes is a setting. Why it works: a reply that can't be passed on takes the place of the next one instead of lying beside it.

--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -50,6 +50,7 @@
     // End-to-end headers only.
     std::vector<HttpHeader> headers;
     std::string body;
+    std::shared_ptr<const void> reservation;
 };
 
 struct Refusal
--- a/src/galenawell/front/routedfront.cpp
+++ b/src/galenawell/front/routedfront.cpp
@@ -729,6 +729,9 @@
             this->closeIdleAt = now + closeIdleInterval;
             this->client.closeIdle(now);
         }
+        if (this->client.replyMemoryShort()) {
+            this->callerServer->closeStalledWriters();
+        }
         this->requestLateView(now);
         this->crashes.expire(now);
         this->reviewLimits(now);
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -280,8 +280,10 @@
     if (this->options.route->isScatterGather()) {
         subreply.records = std::move(reply.body);
     } else {
-        subreply.forwarded = std::make_shared<const ForwardedReply>(
-            ForwardedReply{.status = reply.status, .headers = std::move(reply.headers), .body = std::move(reply.body)});
+        subreply.forwarded = std::make_shared<const ForwardedReply>(ForwardedReply{.status = reply.status,
+                                                                                   .headers = std::move(reply.headers),
+                                                                                   .body = std::move(reply.body),
+                                                                                   .reservation = std::move(reply.reservation)});
     }
     this->perform(this->scatter.onReply(std::move(subreply), latency, reply.load.value_or(LoadReport{}), now));
 }
--- a/src/galenawell/query/answer.h
+++ b/src/galenawell/query/answer.h
@@ -43,6 +43,8 @@
     // Without hop-by-hop headers.
     std::vector<HttpHeader> headers{};
     std::string body{};
+    // Counts the reply as held in memory.
+    std::shared_ptr<const void> reservation{};
 };
 
 struct Row
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -260,6 +260,12 @@
     return this->replyMemory->used();
 }
 
+bool BackendClient::replyMemoryShort() const
+{
+    // A quarter of the memory is left.
+    return this->replyMemory->used() > this->options.replyMemoryBytes - this->options.replyMemoryBytes / 4;
+}
+
 Asio::awaitable<ExchangeResult> BackendClient::exchange(ExchangeRequest request, std::shared_ptr<ExchangeHandle> handle)
 {
     const std::string address = request.address;
@@ -418,11 +424,11 @@
         result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
         co_return result;
     }
-    ReplyReservation reservation(this->replyMemory);
+    const auto reservation = std::make_shared<ReplyReservation>(this->replyMemory);
     std::optional<ReplyParser> parser;
     Beast::error_code readError = writeError;
     if (!readError) {
-        readError = co_await readReply(connection, request, parser, reservation);
+        readError = co_await readReply(connection, request, parser, *reservation);
     }
     const TimePoint now = MonotonicClock::now();
     result.latency = std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt);
@@ -450,6 +456,7 @@
     result.httpStatus = parser->get().result_int();
     result.headers = copyHeaders(parser->get());
     result.body = std::move(parser->get().body());
+    result.reservation = reservation;
     if (const auto timeout = parseKeepAliveTimeout(findHeader(result.headers, "Keep-Alive"))) {
         const std::chrono::milliseconds keepAlive = *timeout;
         connection->idleTimeout = std::min<std::chrono::milliseconds>(maximumIdleTime, keepAlive - keepAlive / keepAliveMarginDivisor);
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -76,6 +76,8 @@
     unsigned httpStatus = 0;
     std::vector<HttpHeader> headers{};
     std::string body;
+    // Of the reply; kept until the reply has been passed on.
+    std::shared_ptr<const ReplyReservation> reservation{};
     // True if the exchange opened a new connection.
     bool connected = false;
     // True if no process listened at the address.
@@ -104,7 +106,7 @@
 {
     // Opens an idle connection in place of one that a cancel closed, so that the next request needn't wait for the connect.
     bool reconnectAfterCancel = true;
-    // Limit of all replies that are being read at once.
+    // Limit of all replies together, until they have been passed on.
     std::size_t replyMemoryBytes = std::size_t(32) * 1024 * 1024;
 };
 
@@ -121,8 +123,10 @@
     // Closes connections whose idle timeout has passed.
     void closeIdle(TimePoint now);
     std::size_t idleConnections() const;
-    // Memory of the replies that are being read.
+    // Memory of the replies that are being read or haven't been passed on yet.
     std::size_t replyBytes() const;
+    // True if large replies may soon be refused.
+    bool replyMemoryShort() const;
 
 private:
     struct Connection;
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -220,6 +220,23 @@
     }
 }
 
+void HttpServer::closeStalledWriters()
+{
+    const std::lock_guard lock(this->connectionsMutex);
+    const TimePoint now = MonotonicClock::now();
+    for (auto &[pointer, weak] : this->connections) {
+        const std::shared_ptr<Connection> connection = weak.lock();
+        if (connection == nullptr || connection->phase != ConnectionPhase::Writing || connection->timeInPhase(now) < stalledWriteTime) {
+            continue;
+        }
+        Asio::post(connection->stream.get_executor(), [connection] {
+            if (connection->phase == ConnectionPhase::Writing) {
+                connection->abort();
+            }
+        });
+    }
+}
+
 bool HttpServer::makeRoom()
 {
     const std::lock_guard lock(this->connectionsMutex);
--- a/src/galenawell/transport/httpserver.h
+++ b/src/galenawell/transport/httpserver.h
@@ -71,6 +71,8 @@
     std::vector<HttpHeader> headers{};
     // The connection is closed after this response.
     bool close = false;
+    // Released once the response is written, or can't be.
+    std::shared_ptr<const void> resource{};
 };
 
 // Limits of one connection. Replaced as a whole while the server runs.
@@ -120,6 +122,8 @@
     std::size_t inFlight() const;
     std::size_t connectionCount() const;
     Tcp::endpoint address() const;
+    // Closes connections whose caller has read nothing of its answer for a while, so that what the answers hold is released.
+    void closeStalledWriters();
 
 private:
     struct Connection;
--- a/src/galenawell/transport/replymemory.h
+++ b/src/galenawell/transport/replymemory.h
@@ -1,4 +1,4 @@
-// Bounds the memory of replies that are being read from all backend servers together. A server whose reply never ends could
+// Bounds the memory of the replies of all backend servers together, until they have been passed on. A server whose reply never ends could
 // otherwise take the memory of the whole process, many of them even within the limit of a single reply.
 #pragma once
 
