Bound what reading a JSON document takes

Cause: a document takes up to 75 times its text once it is parsed, heartbeats had the limit of a configuration, and nothing bounded the parsed document. The JSON interface reads its documents the same way. Why it works: the estimate stops at the first value beyond the bound, so the document is never built.

--- a/src/galenawell/front/frontprocess.cpp
+++ b/src/galenawell/front/frontprocess.cpp
@@ -1,6 +1,7 @@
 #include "galenawell/front/frontprocess.h"
 
 #include "galenawell/control/controlprocess.h"
+#include "galenawell/core/boundedjson.h"
 #include "galenawell/core/incarnation.h"
 #include "galenawell/front/registrycodec.h"
 #include "galenawell/telemetry/log.h"
@@ -323,7 +324,7 @@
         // Makes the server announce itself to another front before the records of this front expire there.
         co_return this->queryService->refuse("", Execution::NotRun, RefusalReason::ShuttingDown, "announce to another front");
     }
-    Result<BackendRecord> record = parseAnnouncement(nlohmann::json::parse(request.body, nullptr, false));
+    Result<BackendRecord> record = parseAnnouncement(parseBoundedJsonOrDiscard(request.body));
     if (!record) {
         co_return this->queryService->refuse("", Execution::NotRun, RefusalReason::MalformedRequest, record.error().detail);
     }
--- a/src/galenawell/front/operatorapi.cpp
+++ b/src/galenawell/front/operatorapi.cpp
@@ -1,5 +1,6 @@
 #include "galenawell/front/operatorapi.h"
 
+#include "galenawell/core/boundedjson.h"
 #include "galenawell/front/registrycodec.h"
 #include "galenawell/telemetry/log.h"
 
@@ -186,7 +187,7 @@
 
 Asio::awaitable<HttpResponse> OperatorApi::applyConfiguration(HttpRequest request)
 {
-    const nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json document = parseBoundedJsonOrDiscard(request.body);
     if (!document.is_object() || !document.contains("number") || !document.at("number").is_number_unsigned()
         || !document.contains("content")) {
         co_return errorResponse(400, makeError(ErrorKind::MalformedJson, "a change must have /number and /content"));
@@ -312,7 +313,7 @@
 
 Asio::awaitable<HttpResponse> OperatorApi::drainEntry(HttpRequest request)
 {
-    const nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json document = parseBoundedJsonOrDiscard(request.body);
     if (!document.is_object() || !document.contains("instance") || !document.at("instance").is_string()) {
         co_return errorResponse(400, makeError(ErrorKind::MalformedJson, "/instance must be the name of an entry instance"));
     }
@@ -357,7 +358,7 @@
 {
     static const std::map<std::string, Wire::MemberAction::type> actions{
         {"add", Wire::MemberAction::AddLearner}, {"promote", Wire::MemberAction::Promote}, {"remove", Wire::MemberAction::Remove}};
-    const nlohmann::json document = nlohmann::json::parse(request.body, nullptr, false);
+    const nlohmann::json document = parseBoundedJsonOrDiscard(request.body);
     const std::string action = document.is_object() ? document.value("action", std::string()) : std::string();
     const auto found = actions.find(action);
     const bool hasId = document.is_object() && document.contains("id") && document.at("id").is_number_unsigned();
--- a/src/galenawell/front/queryservice.cpp
+++ b/src/galenawell/front/queryservice.cpp
@@ -1,5 +1,6 @@
 #include "galenawell/front/queryservice.h"
 
+#include "galenawell/core/boundedjson.h"
 #include "galenawell/front/claimedrun.h"
 #include "galenawell/telemetry/log.h"
 
@@ -110,7 +111,7 @@
 
 Result<QueryRequest> parseQuery(const std::string &text)
 {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json document = parseBoundedJsonOrDiscard(text);
     if (!document.is_object()) {
         return makeError(ErrorKind::MalformedJson, "a query must be a JSON object");
     }
