Bound the connections that haven't proved the peer key

What callers saw: nothing yet; silent connections to the peers' listener of a control process took up to 2,048 descriptors, and then kept fronts out. Cause: connections counted alike before and after their handshake, and the limit of all listeners together was above the descriptors of a machine. Change: maximumPeerConnections is a setting with a default of 1,536; an eighth of them may be in a handshake. If one lasts for 500 ms while another connection waits, it is closed. Connections without room wait unaccepted, without a descriptor. Why it works: a peer's handshake takes a few round trips, so that silent connections only delay it by their patience.

--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -135,7 +135,8 @@
         this->settings.peerAddress,
         identityAcceptingAnyPeer(this->settings.peerName(), this->settings.peerKey),
         [self](InstanceName peer, Wire::Envelope request) { return self->handleCall(std::move(peer), std::move(request)); },
-        this->traffic);
+        this->traffic,
+        PeerServerOptions{.maximumConnections = this->settings.maximumPeerConnections});
     this->peerServer->start();
     this->subscriptions->addSeeds(this->settings.seedNames());
     Asio::co_spawn(
--- a/src/galenawell/transport/peerlink.h
+++ b/src/galenawell/transport/peerlink.h
@@ -12,8 +12,10 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -123,6 +125,12 @@
     std::chrono::steady_clock::time_point nextAttempt;
 };
 
+struct PeerServerOptions
+{
+    // Above the number of processes that connect to one control process, and below its file descriptors.
+    std::size_t maximumConnections = 1536;
+};
+
 // Accepts connections of configured peers and answers their calls.
 class PeerServer : public std::enable_shared_from_this<PeerServer>
 {
@@ -134,7 +142,8 @@
                Tcp::endpoint address,
                PeerIdentity identity,
                Handler handler,
-               std::shared_ptr<PeerTraffic> traffic);
+               std::shared_ptr<PeerTraffic> traffic,
+               PeerServerOptions options = {});
 
     void start();
     void stop();
@@ -143,7 +152,9 @@
     struct Session;
 
     Asio::awaitable<void> acceptLoop();
-    Asio::awaitable<void> serve(Tcp::socket socket);
+    // False if another connection has to end first. Closes one that hasn't proved the peer key for a while.
+    bool hasRoom();
+    Asio::awaitable<void> serve(std::shared_ptr<Session> session);
     Asio::awaitable<void> handleCall(std::shared_ptr<Session> session, Wire::Envelope request);
 
     Asio::any_io_executor executor;
@@ -151,8 +162,12 @@
     PeerIdentity identity;
     Handler handler;
     std::shared_ptr<PeerTraffic> traffic;
+    PeerServerOptions options;
     Tcp::acceptor acceptor;
     std::atomic<std::size_t> openConnections{0};
+    std::mutex handshakesMutex;
+    // Connections that haven't proved the peer key yet, oldest first.
+    std::list<std::shared_ptr<Session>> handshakes;
 };
 
 } // namespace Galenawell
--- a/src/galenawell/transport/peerserver.cpp
+++ b/src/galenawell/transport/peerserver.cpp
@@ -1,5 +1,6 @@
 #include "galenawell/transport/peerlink.h"
 
+#include <algorithm>
 #include <deque>
 
 namespace Galenawell {
@@ -9,8 +10,11 @@
 constexpr std::chrono::milliseconds handshakeTimeout{2000};
 // Peers send a heartbeat at least every second; a connection without any is closed.
 constexpr std::chrono::seconds idleTimeout{30};
-// Above the number of fronts that one control process can answer, and below its file descriptors.
-constexpr std::size_t maximumPeerConnections = 2048;
+// Handshakes may take 1/n of the connections, so that silent connections don't keep peers out.
+constexpr std::size_t handshakeShareDivisor = 8;
+// A handshake takes a few round trips; one that lasts longer is closed when a newer connection needs its place.
+constexpr std::chrono::milliseconds handshakePatience{500};
+constexpr std::chrono::milliseconds acceptRetryDelay{20};
 
 } // namespace
 
@@ -22,6 +26,7 @@
     }
 
     PeerChannel channel;
+    const std::chrono::steady_clock::time_point openedAt = std::chrono::steady_clock::now();
     InstanceName peer;
     std::deque<Wire::Envelope> queue;
     bool writing = false;
@@ -32,12 +37,14 @@
                        Tcp::endpoint listenAddress,
                        PeerIdentity ownIdentity,
                        Handler callHandler,
-                       std::shared_ptr<PeerTraffic> sharedTraffic)
+                       std::shared_ptr<PeerTraffic> sharedTraffic,
+                       PeerServerOptions serverOptions)
     : executor(std::move(ioExecutor))
     , address(std::move(listenAddress))
     , identity(std::move(ownIdentity))
     , handler(std::move(callHandler))
     , traffic(std::move(sharedTraffic))
+    , options(serverOptions)
     , acceptor(Asio::make_strand(this->executor))
 {
 }
@@ -62,33 +69,63 @@
 
 Asio::awaitable<void> PeerServer::acceptLoop()
 {
+    Asio::steady_timer pause(this->acceptor.get_executor());
     for (;;) {
+        // Connections that there is no room for wait unaccepted, without a descriptor.
+        if (!this->hasRoom()) {
+            pause.expires_after(acceptRetryDelay);
+            co_await pause.async_wait(awaitResult);
+            if (!this->acceptor.is_open()) {
+                co_return;
+            }
+            continue;
+        }
         auto [error, socket] = co_await this->acceptor.async_accept(Asio::make_strand(this->executor), awaitResult);
         if (error == Asio::error::operation_aborted || !this->acceptor.is_open()) {
             co_return;
         }
-        if (error || this->openConnections >= maximumPeerConnections) {
-            Asio::steady_timer pause(this->acceptor.get_executor(), std::chrono::milliseconds(20));
+        if (error) {
+            pause.expires_after(acceptRetryDelay);
             co_await pause.async_wait(awaitResult);
             continue;
         }
         const Asio::any_io_executor strand = socket.get_executor();
+        auto session = std::make_shared<Session>(std::move(socket));
+        ++this->openConnections;
+        {
+            const std::lock_guard lock(this->handshakesMutex);
+            this->handshakes.push_back(session);
+        }
         Asio::co_spawn(
-            strand,
-            [self = this->shared_from_this(), sharedSocket = std::make_shared<Tcp::socket>(std::move(socket))] {
-                return self->serve(std::move(*sharedSocket));
-            },
-            Asio::detached);
+            strand, [self = this->shared_from_this(), session] { return self->serve(session); }, Asio::detached);
     }
 }
 
-Asio::awaitable<void> PeerServer::serve(Tcp::socket socket)
+bool PeerServer::hasRoom()
 {
-    ++this->openConnections;
-    const Asio::any_io_executor strand = socket.get_executor();
-    auto session = std::make_shared<Session>(std::move(socket));
+    const std::lock_guard lock(this->handshakesMutex);
+    const std::size_t maximumHandshakes = std::max<std::size_t>(this->options.maximumConnections / handshakeShareDivisor, 1);
+    const bool full = this->openConnections >= this->options.maximumConnections;
+    if (!full && this->handshakes.size() < maximumHandshakes) {
+        return true;
+    }
+    if (!this->handshakes.empty() && std::chrono::steady_clock::now() - this->handshakes.front()->openedAt >= handshakePatience) {
+        const std::shared_ptr<Session> oldest = this->handshakes.front();
+        this->handshakes.pop_front();
+        Asio::post(oldest->channel.rawStream().get_executor(), [oldest] { oldest->channel.close(); });
+    }
+    return false;
+}
+
+Asio::awaitable<void> PeerServer::serve(std::shared_ptr<Session> session)
+{
+    const Asio::any_io_executor strand = session->channel.rawStream().get_executor();
     session->channel.rawStream().expires_after(handshakeTimeout);
     Result<InstanceName> name = co_await session->channel.acceptAs(this->identity);
+    {
+        const std::lock_guard lock(this->handshakesMutex);
+        this->handshakes.remove(session);
+    }
     if (name) {
         session->peer = name.value();
     }
