Take no answer whose status is outside 200 to 599

What callers saw: a server in trouble answered with status 000, with the id of the request and its proof, and on routes of unsafe requests the caller got "HTTP/1.1 000 <unknown-status>" with the server's body as its answer; 001, 099, 101, 600 and 999 alike. Cause: BackendClient took any three digits for a final status, and the codec called them a failure of the server, which such a route passes on as it came. Change: a status outside 200 to 599 is no reply. The exchange ends as InvalidReply, the connection is closed, the outcome is unknown, and the server's health counts it as a failure. Evidence: an_answer_without_a_valid_status_is_not_passed_on failed before ("0 gave 0") and passes; the caller gets 502, and the request runs once. Why it works: the rule stands where replies are read, before anything decides on them.

--- a/src/galenawell/front/claimedrun.cpp
+++ b/src/galenawell/front/claimedrun.cpp
@@ -166,6 +166,10 @@
         this->state.addEvidence(evidence, endedAt);
         co_await this->shareEvidence();
     }
+    if (result.status == ExchangeStatus::InvalidReply) {
+        replica.health->recordFailure(endedAt);
+        co_return SendResult{.outcome = SendOutcome::Unknown, .reason = RetryReason::InvalidReply};
+    }
     if (result.status != ExchangeStatus::Completed) {
         co_return SendResult{.outcome = SendOutcome::Unknown, .reason = RetryReason::ConnectionLost};
     }
--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -20,6 +20,9 @@
     case ExchangeStatus::TooLarge:
         failure.reason = RetryReason::ReplyTooLarge;
         break;
+    case ExchangeStatus::InvalidReply:
+        failure.reason = RetryReason::InvalidReply;
+        break;
     default:
         failure.reason = RetryReason::ConnectionLost;
         break;
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -39,6 +39,12 @@
     return status >= 100 && status < 200 && status != switchingProtocols;
 }
 
+// Any three digits can be parsed as a status, but not any of them is one.
+bool isFinalStatus(unsigned status)
+{
+    return status >= 200 && status <= 599;
+}
+
 bool exceedsLimit(const Beast::error_code &error)
 {
     return error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow;
@@ -450,6 +456,11 @@
         stream.close();
         co_return result;
     }
+    if (!isFinalStatus(parser->get().result_int())) {
+        result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::InvalidReply;
+        stream.close();
+        co_return result;
+    }
     // A cancel from here on must not close the connection.
     ++connection->exchangeCount;
     result.status = ExchangeStatus::Completed;
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -31,6 +31,8 @@
     TimedOut,
     // The reply exceeds a limit, possibly because it never ends; the request may have run.
     TooLarge,
+    // What arrived is no reply of the protocol; the request may have run.
+    InvalidReply,
     Cancelled,
 };
 
--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -169,6 +169,11 @@
     this->serviceTimeMilliseconds = duration.count();
 }
 
+void ServerStandIn::setStatus(unsigned status)
+{
+    this->answerStatus = status;
+}
+
 void ServerStandIn::setAnswerBytes(std::size_t size)
 {
     this->answerBytes = size;
@@ -234,7 +239,9 @@
         co_await timer.async_wait(awaitResult);
         request.caller->onClose(nullptr);
     }
-    HttpResponse response{.contentType = "application/octet-stream", .body = this->name + std::string(16 - this->name.size() % 16, '.')};
+    HttpResponse response{.status = this->answerStatus,
+                          .contentType = "application/octet-stream",
+                          .body = this->name + std::string(16 - this->name.size() % 16, '.')};
     response.body.resize(std::max<std::size_t>(response.body.size(), this->answerBytes), '.');
     response.headers = {{"Attempt-Id", id}, {"Server-Stamp", this->name + "." + id}, {"Server-Load", "0,0,1"}};
     if (this->isLeaving) {
--- a/tests/process/platform/platforminstallation.h
+++ b/tests/process/platform/platforminstallation.h
@@ -79,6 +79,8 @@
     std::size_t runsOf(const std::string &requestId) const;
     // Service time of the requests that arrive from now on.
     void setServiceTime(std::chrono::milliseconds duration);
+    // Status of the answers from now on; any number of three digits, also one that no server may send.
+    void setStatus(unsigned status);
     // Size of the answers from now on.
     void setAnswerBytes(std::size_t size);
     // Number of requests whose connection closed before the answer.
@@ -103,6 +105,7 @@
     std::string announcedAddress;
     std::atomic<std::uint64_t> sequence{0};
     std::atomic<std::int64_t> serviceTimeMilliseconds{0};
+    std::atomic<unsigned> answerStatus{200};
     std::atomic<std::size_t> answerBytes{0};
     std::atomic<std::size_t> abandonedCount{0};
     std::atomic<std::size_t> arrivalCount{0};
--- a/tests/process/platform/test_platform.cpp
+++ b/tests/process/platform/test_platform.cpp
@@ -498,6 +498,26 @@
     cr_assert(peak > 0 && peak < memoryLimit, "%zu bytes", peak);
 }
 
+// Guards against a status that no server may send, passed on to the caller as the server's answer.
+Test(platform, an_answer_without_a_valid_status_is_not_passed_on)
+{
+    PlatformInstallation installation(3, 1);
+    installation.startAll();
+    TestServers servers(installation);
+    cr_assert(installation.putUntilAcknowledged(configuration(7, twoShards)));
+    cr_assert(waitUntil([&] { return allFrontsServe(installation); }));
+    for (const unsigned status : {0U, 1U, 99U, 101U, 600U, 999U}) {
+        servers.archive.setStatus(status);
+        const std::string id = "status" + std::to_string(status);
+        const Reply reply = sendRequest(installation, "front1", "/one/x", id);
+        cr_assert_eq(reply.status, 502, "%u gave %u", status, reply.status);
+        cr_assert(reply.header("Server-Stamp").empty() && reply.body.find("i-archive") == std::string::npos);
+        cr_assert_eq(servers.archive.runsOf(id), 1);
+    }
+    servers.archive.setStatus(404);
+    cr_assert_eq(sendRequest(installation, "front1", "/one/x", "after").status, 404);
+}
+
 // Guards against a split of requests that is decided with the weights of an older configuration.
 Test(platform, a_service_whose_weight_falls_to_zero_gets_no_more_requests)
 {
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -78,6 +78,28 @@
     cr_assert_eq(fixture.client.idleConnections(), 0);
 }
 
+// Guards against bytes that aren't a reply but are taken for one: a status that no server may send.
+Test(backend_client, a_status_outside_the_valid_range_is_no_reply)
+{
+    ClientFixture fixture;
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
+        std::future<ExchangeResult> result = fixture.exchange();
+        PlainSocket server = fixture.accept();
+        server.readUntil("question");
+        server.send("HTTP/1.1 " + std::string(status) + " Text\r\nContent-Length: 2\r\n\r\nok");
+        const ExchangeResult exchange = result.get();
+        cr_assert(exchange.status == ExchangeStatus::InvalidReply, "%s", status);
+        cr_assert_eq(fixture.client.idleConnections(), 0);
+    }
+    for (const char *status : {"200", "404", "599"}) {
+        std::future<ExchangeResult> result = fixture.exchange(generousTimeout, true);
+        PlainSocket server = fixture.accept();
+        server.readUntil("question");
+        server.send("HTTP/1.1 " + std::string(status) + " Text\r\nContent-Length: 2\r\n\r\nok");
+        cr_assert(result.get().status == ExchangeStatus::Completed, "%s", status);
+    }
+}
+
 // Guards against a late reply to a cancelled request being read as the reply to the next one.
 Test(backend_client, the_connection_of_a_cancelled_exchange_is_not_used_again)
 {
