Take no reply in another transfer coding than chunks

What callers saw: a reply with "Transfer-Encoding: gzip, chunked" reached the caller as a 200 whose body was the compressed bytes, while Content-Encoding was refused. Cause: the parser undoes the chunks and leaves the other codings to its user; nothing looked at them. Change: a reply with any other coding, or several, ends as InvalidReply like one with an invalid status. Evidence: a_reply_with_other_transfer_codings_is_no_reply failed before for "gzip, chunked" and passes. Why it works: a body is passed on only if it is the server's body as the parser returns it.

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -45,6 +45,13 @@
     return status >= 200 && status <= 599;
 }
 
+// A body in any other coding than chunks isn't the server's body as it stands.
+bool hasOtherTransferCoding(const Http::fields &headers)
+{
+    const auto [first, last] = headers.equal_range(Http::field::transfer_encoding);
+    return first != last && (std::next(first) != last || !Beast::iequals(first->value(), "chunked"));
+}
+
 bool exceedsLimit(const Beast::error_code &error)
 {
     return error == Http::error::header_limit || error == Http::error::body_limit || error == Http::error::buffer_overflow;
@@ -456,7 +463,7 @@
         stream.close();
         co_return result;
     }
-    if (!isFinalStatus(parser->get().result_int())) {
+    if (!isFinalStatus(parser->get().result_int()) || hasOtherTransferCoding(parser->get())) {
         result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::InvalidReply;
         stream.close();
         co_return result;
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -100,6 +100,27 @@
     }
 }
 
+// Guards against a compressed body that is taken for the server's body, because the last of its codings is the chunked one.
+Test(backend_client, a_reply_with_other_transfer_codings_is_no_reply)
+{
+    ClientFixture fixture;
+    for (const char *codings : {"gzip, chunked", "gzip", "chunked, chunked", "identity\r\nTransfer-Encoding: chunked"}) {
+        std::future<ExchangeResult> result = fixture.exchange();
+        {
+            PlainSocket server = fixture.accept();
+            server.readUntil("question");
+            server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(codings) + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        }
+        const ExchangeStatus status = result.get().status;
+        cr_assert(status == ExchangeStatus::InvalidReply || status == ExchangeStatus::Lost, "%s", codings);
+    }
+    std::future<ExchangeResult> result = fixture.exchange();
+    PlainSocket server = fixture.accept();
+    server.readUntil("question");
+    server.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    cr_assert(result.get().body == "ok");
+}
+
 // Guards against a late reply to a cancelled request being read as the reply to the next one.
 Test(backend_client, the_connection_of_a_cancelled_exchange_is_not_used_again)
 {
