--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <poll.h>
 #include <thread>
 
 using namespace Galenawell;
@@ -121,6 +122,41 @@
     cr_assert(result.get().body == "ok");
 }
 
+// Guards against a late copy of a rejection that is taken for the reply to the repetition of the request (review/6): it has the same
+// id, and the request would run on two servers.
+Test(backend_client, a_request_is_not_repeated_on_the_connection_that_carried_its_rejection)
+{
+    ClientFixture fixture;
+    const auto send = [&fixture](const std::string &id) {
+        ExchangeRequest request{
+            .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
+        request.echo = HttpHeader{.name = "Id", .value = id};
+        return fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
+    };
+    const auto reply = [](const std::string &status, const std::string &id) {
+        return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n";
+    };
+    std::future<ExchangeResult> rejected = send("a");
+    PlainSocket first = fixture.accept();
+    first.readUntil("\r\n\r\n");
+    first.send(reply("503 Busy", "a"));
+    cr_assert_eq(rejected.get().httpStatus, 503);
+    // Another request may use the connection, and doesn't make it forget what it carried.
+    std::future<ExchangeResult> other = send("b");
+    first.readUntil("\r\n\r\n");
+    first.send(reply("200 OK", "b"));
+    cr_assert_eq(other.get().httpStatus, 200);
+    std::future<ExchangeResult> repeated = send("a");
+    pollfd connects{.fd = fixture.acceptor.native_handle(), .events = POLLIN, .revents = 0};
+    constexpr int generousMilliseconds = 10'000;
+    cr_assert_eq(poll(&connects, 1, generousMilliseconds), 1, "the repetition doesn't open a connection");
+    PlainSocket second = fixture.accept();
+    second.readUntil("\r\n\r\n");
+    first.send(reply("503 Busy", "a"));
+    second.send(reply("200 OK", "a"));
+    cr_assert_eq(repeated.get().httpStatus, 200);
+}
+
 // Guards against a late reply to a cancelled request being read as the reply to the next one.
 Test(backend_client, the_connection_of_a_cancelled_exchange_is_not_used_again)
 {
