Let control processes tell one another what crashes servers

Cause: evidence of crashes is in memory only. Fronts that start are told the list of suspect contents but not the evidence, so they can't report it to a control process that starts later, and control processes didn't tell one another. Change: a control process that subscribes to another gets the evidence against its suspect contents, with its age, when the list changes or either has started. What was told never counts as newer than where it came from, so suspicions end in time. Why it works: whoever starts is told enough to tell the next one.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -61,6 +61,8 @@
     3: required string group
     4: required string address
     5: required i64 replicaIncarnation
+    // Milliseconds since the newest evidence against the content; absent if it is new.
+    6: optional i64 ageMs
 }
 
 // A backend server's statement about its limit on the requests of all fronts together.
@@ -309,7 +311,7 @@
     16: optional binary viewPatch
     // Number of the subscriber's crash report that the sender has.
     17: optional i64 crashReport
-    // Digests of contents that crashed several backend servers, if the subscriber's version differs.
+    // Digests of contents that crashed several backend servers, if the subscriber's version differs. Not for control processes.
     18: optional list<binary> suspects
     19: optional i64 suspectsVersion
     // Limits that have changed after the subscriber's limitsThrough, and the number of the newest change.
@@ -319,6 +321,9 @@
     22: optional i64 limitReport
     // Requests that the subscriber may send.
     23: optional list<LimitGrantMessage> grants
+    // For control processes in place of suspects: the evidence against the suspect contents, so that one that starts can tell the
+    // next one.
+    24: optional list<CrashEvidenceMessage> crashes
 }
 
 struct DrainRequest {
--- a/src/galenawell/claims/crashsuspicions.cpp
+++ b/src/galenawell/claims/crashsuspicions.cpp
@@ -37,7 +37,8 @@
     if (isFull || !entry.evidence.insert(evidence).second) {
         return false;
     }
-    entry.lastEvidenceAt = now;
+    // Evidence that another process held may be older than what is known.
+    entry.lastEvidenceAt = std::max(entry.lastEvidenceAt, now);
     return true;
 }
 
@@ -80,6 +81,26 @@
     return digests;
 }
 
+std::vector<TimedEvidence> CrashSuspicions::quarantinedEvidence(TimePoint now, std::size_t limit) const
+{
+    std::vector<TimedEvidence> result;
+    for (const auto &[digest, entry] : this->entries) {
+        if (!this->isQuarantined(entry) || this->hasExpired(entry, now)) {
+            continue;
+        }
+        std::size_t left = this->options.quarantineAfter;
+        for (const CrashEvidence &evidence : entry.evidence) {
+            if (left-- == 0) {
+                break;
+            }
+            result.push_back({.evidence = evidence, .at = entry.lastEvidenceAt});
+        }
+    }
+    std::ranges::stable_sort(result, std::greater<>(), &TimedEvidence::at);
+    result.resize(std::min(result.size(), limit));
+    return result;
+}
+
 void CrashSuspicions::expire(TimePoint now)
 {
     std::erase_if(this->entries, [this, now](const auto &entry) { return this->hasExpired(entry.second, now); });
--- a/src/galenawell/claims/crashsuspicions.h
+++ b/src/galenawell/claims/crashsuspicions.h
@@ -30,6 +30,13 @@
     friend auto operator<=>(const CrashEvidence &, const CrashEvidence &) = default; // NOLINT(modernize-use-nullptr)
 };
 
+struct TimedEvidence
+{
+    CrashEvidence evidence;
+    // Of the newest evidence against the same content.
+    TimePoint at;
+};
+
 enum class Suspicion : std::uint8_t {
     None,
     // One piece of evidence. The next attempt waits for the other fronts and is the only suspect on its replica.
@@ -63,6 +70,8 @@
     // Removes the evidence of the content also if it is quarantined, and returns it.
     std::set<CrashEvidence> remove(const ContentDigest &digest);
     std::vector<ContentDigest> quarantined(TimePoint now) const;
+    // At most as many pieces, those of the newest suspicions first.
+    std::vector<TimedEvidence> quarantinedEvidence(TimePoint now, std::size_t limit) const;
     void expire(TimePoint now);
 
     // Reserves the replica for one suspect, so that a crash is attributed to one content. False if it is reserved already.
--- a/src/galenawell/claims/suspectcontents.cpp
+++ b/src/galenawell/claims/suspectcontents.cpp
@@ -5,17 +5,24 @@
 
 namespace Galenawell {
 
+namespace {
+
+// Some hundred bytes each, in one message.
+constexpr std::size_t maximumToldEvidence = 2048;
+
+} // namespace
+
 SuspectContents::SuspectContents(CrashSuspicionsOptions suspicionOptions)
     : options(suspicionOptions)
     , suspicions(suspicionOptions)
 {
 }
 
-void SuspectContents::add(const CrashEvidence &evidence, TimePoint now)
+void SuspectContents::add(const CrashEvidence &evidence, TimePoint at)
 {
     const auto known = this->cleared.find(evidence.digest);
     if (known == this->cleared.end() || !known->second.evidence.contains(evidence)) {
-        this->suspicions.add(evidence, now);
+        this->suspicions.add(evidence, at);
     }
 }
 
@@ -55,4 +62,9 @@
     return this->listVersion;
 }
 
+std::vector<TimedEvidence> SuspectContents::evidence(TimePoint now) const
+{
+    return this->suspicions.quarantinedEvidence(now, maximumToldEvidence);
+}
+
 } // namespace Galenawell
--- a/src/galenawell/claims/suspectcontents.h
+++ b/src/galenawell/claims/suspectcontents.h
@@ -1,5 +1,5 @@
 // Contents of requests that crashed several backend servers, from the evidence of all fronts. Kept in memory by each control
-// process; fronts report their evidence again to one that starts.
+// process; fronts report their evidence again to one that starts, and the other control processes theirs.
 #pragma once
 
 #include "galenawell/claims/crashsuspicions.h"
@@ -17,7 +17,8 @@
 public:
     explicit SuspectContents(CrashSuspicionsOptions options);
 
-    void add(const CrashEvidence &evidence, TimePoint now);
+    // `at`: when it was found, which is earlier if another process held it.
+    void add(const CrashEvidence &evidence, TimePoint at);
     // For content that ran without a crash: only evidence that isn't known yet counts from now on.
     void clear(const ContentDigest &content, TimePoint now);
     // Removes what has expired and returns the suspect contents. The version changes with the list.
@@ -25,6 +26,8 @@
     // The list of the last call of list().
     const std::vector<ContentDigest> &listed() const;
     std::int64_t version() const;
+    // What another control process needs to find the same contents suspect.
+    std::vector<TimedEvidence> evidence(TimePoint now) const;
 
 private:
     struct ClearedEvidence
--- a/src/galenawell/control/controlmember.cpp
+++ b/src/galenawell/control/controlmember.cpp
@@ -644,7 +644,7 @@
 
 bool ControlMember::hasNewerSuspects(const Wire::Subscription &subscription) const
 {
-    return subscription.front && subscription.__isset.suspectsVersion && subscription.suspectsVersion != this->suspectContents.version();
+    return subscription.__isset.suspectsVersion && subscription.suspectsVersion != this->suspectContents.version();
 }
 
 void ControlMember::addSuspects(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply) const
@@ -652,10 +652,38 @@
     if (subscription.__isset.crashReport) {
         reply.__set_crashReport(subscription.crashReport);
     }
-    if (this->hasNewerSuspects(subscription)) {
+    if (!this->hasNewerSuspects(subscription)) {
+        return;
+    }
+    reply.__set_suspectsVersion(this->suspectContents.version());
+    if (subscription.front) {
         reply.__set_suspects(this->suspectContents.listed());
-        reply.__set_suspectsVersion(this->suspectContents.version());
+        return;
+    }
+    const TimePoint now = MonotonicClock::now();
+    for (const TimedEvidence &known : this->suspectContents.evidence(now)) {
+        reply.crashes.push_back(toMessage(known.evidence));
+        reply.crashes.back().__set_ageMs(toMilliseconds(now - known.at).count());
+    }
+    reply.__isset.crashes = true;
+}
+
+void ControlMember::learnSuspects(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt, TimePoint now)
+{
+    KnownSuspects &known = this->knownSuspects[control];
+    if (known.incarnation != reply.incarnation) {
+        known = {.incarnation = reply.incarnation};
     }
+    if (!reply.__isset.crashes || !reply.__isset.suspectsVersion) {
+        return;
+    }
+    known.version = reply.suspectsVersion;
+    for (const Wire::CrashEvidenceMessage &evidence : reply.crashes) {
+        // Never later than the other process found it, so that processes can't prolong a suspicion by telling one another.
+        this->suspectContents.add(fromMessage(evidence),
+                                  requestedAt - std::chrono::milliseconds(std::max<std::int64_t>(evidence.ageMs, 0)));
+    }
+    this->updateSuspects(now);
 }
 
 void ControlMember::recordLimits(const Wire::Subscription &subscription, TimePoint now)
@@ -764,12 +792,14 @@
     subscription.registryIncarnation = static_cast<std::int64_t>(originIncarnation);
     subscription.registryThrough = static_cast<std::int64_t>(through);
     subscription.impairedVersion = 0;
+    subscription.__set_suspectsVersion(this->knownSuspects[control].version);
     return subscription;
 }
 
-void ControlMember::handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint)
+void ControlMember::handleReply(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt)
 {
     const TimePoint now = MonotonicClock::now();
+    this->learnSuspects(control, reply, requestedAt, now);
     const auto run = static_cast<Incarnation>(reply.incarnation);
     this->registry.renewOrigin(control, run, now);
     if (reply.__isset.registry) {
--- a/src/galenawell/control/controlmember.h
+++ b/src/galenawell/control/controlmember.h
@@ -19,6 +19,7 @@
 #include "galenawell/transport/peerlink.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -96,6 +97,8 @@
     void recordCrashes(const Wire::Subscription &subscription, TimePoint now);
     bool hasNewerSuspects(const Wire::Subscription &subscription) const;
     void addSuspects(const Wire::Subscription &subscription, Wire::SubscriptionReply &reply) const;
+    // Takes over the evidence that another control process holds. `requestedAt`: before the other one made its reply.
+    void learnSuspects(const InstanceName &control, const Wire::SubscriptionReply &reply, TimePoint requestedAt, TimePoint now);
     void recordLimits(const Wire::Subscription &subscription, TimePoint now);
     bool hasNewerLimits(const Wire::Subscription &subscription) const;
     // `receivedAt`: when the subscription was received.
@@ -141,6 +144,13 @@
     FrontDirectory fronts;
     ImpairedServers impairedServers;
     SuspectContents suspectContents;
+    // What this process has of the suspect contents of another control process.
+    struct KnownSuspects
+    {
+        std::int64_t incarnation = 0;
+        std::int64_t version = 0;
+    };
+    std::map<InstanceName, KnownSuspects> knownSuspects;
     LimitedServers limitedServers;
     std::int64_t loggedSuspectsVersion = 1;
     std::int64_t loggedImpairedVersion = 1;
--- a/tests/fault/claims/test_crashquarantine.cpp
+++ b/tests/fault/claims/test_crashquarantine.cpp
@@ -23,6 +23,7 @@
 constexpr auto tick = 10ms;
 // Fronts report to the control processes and get their lists at this interval.
 constexpr auto pollInterval = 500ms;
+constexpr auto restartInterval = 2s;
 constexpr auto workTime = 100ms;
 constexpr unsigned seeds = 50;
 // The stated limits: retries of one request later than this time after its third crash.
@@ -41,6 +42,10 @@
     // Fronts are replaced by new ones without memory.
     bool frontsRestart = false;
     bool sharesSuspects = true;
+    // Once, in the middle: all fronts at once, then the control processes one after the other.
+    bool rollingRestart = false;
+    // Control processes tell one another what they know.
+    bool sharesEvidence = true;
 };
 
 struct Result
@@ -60,7 +65,7 @@
         , random(simulationOptions.seed)
     {
         for (SuspectContents &control : this->controls) {
-            control = SuspectContents(CrashSuspicionsOptions{.suspectTime = 10min, .maximumEntries = 1000});
+            control = newControl();
         }
     }
 
@@ -70,12 +75,16 @@
         TimePoint nextPoison = this->now + 1s;
         TimePoint nextMassCrash = this->now + 3s;
         TimePoint nextPoll = this->now;
+        TimePoint nextRestart = this->now + duration / 2;
+        std::size_t restarted = 0;
         while (this->now < end) {
             this->now += tick;
             this->startServers();
             this->finishRuns();
             this->start("content" + std::to_string(this->random.below(contentCount)));
-            if (this->options.poison && this->now >= nextPoison) {
+            // Else it would bring new evidence between the restarts.
+            const bool restarting = restarted > 0 && restarted <= controlCount + 1;
+            if (this->options.poison && !restarting && this->now >= nextPoison) {
                 nextPoison = this->now + std::chrono::milliseconds(200 + this->random.below(3000));
                 this->start("poison");
             }
@@ -91,6 +100,10 @@
             if (this->options.frontsRestart && this->random.below(500) == 0) {
                 this->fronts[this->random.below(frontCount)] = Front{};
             }
+            if (this->options.rollingRestart && this->now >= nextRestart && restarted <= controlCount + 1) {
+                nextRestart = this->now + restartInterval;
+                this->restart(restarted++);
+            }
             if (this->now >= nextPoll) {
                 nextPoll = this->now + pollInterval;
                 this->poll();
@@ -100,6 +113,11 @@
     }
 
 private:
+    static SuspectContents newControl()
+    {
+        return SuspectContents(CrashSuspicionsOptions{.suspectTime = 10min, .maximumEntries = 1000});
+    }
+
     struct Front
     {
         CrashWatch watch;
@@ -230,8 +248,42 @@
         }
     }
 
+    // First all fronts, then one control process with each call, and then the request that crashes servers comes many times.
+    void restart(std::size_t step)
+    {
+        if (step == 0) {
+            this->fronts = {};
+            return;
+        }
+        if (step > controlCount) {
+            for (int arrival = 0; arrival < 12; ++arrival) {
+                this->start("poison");
+            }
+            return;
+        }
+        this->controls[step - 1] = newControl();
+        for (Front &front : this->fronts) {
+            front.reported[step - 1] = 0;
+            front.watch.setSuspects("control" + std::to_string(step - 1), {});
+        }
+    }
+
+    void shareEvidence()
+    {
+        for (SuspectContents &teller : this->controls) {
+            for (const TimedEvidence &known : teller.evidence(this->now)) {
+                for (SuspectContents &listener : this->controls) {
+                    listener.add(known.evidence, known.at);
+                }
+            }
+        }
+    }
+
     void poll()
     {
+        if (this->options.sharesEvidence) {
+            this->shareEvidence();
+        }
         for (Front &front : this->fronts) {
             front.watch.expire(this->now);
             for (std::size_t index = 0; index < controlCount; ++index) {
@@ -280,6 +332,57 @@
     recordFaultCell("crash quarantine", "request crashes servers", "retry", seeds);
 }
 
+// Guards against a rolling restart of all processes that makes them forget which requests crash servers (review/9): those that
+// hold the evidence are gone before those that only know the list.
+Test(crashquarantine, a_rolling_restart_forgets_no_request_that_crashes_servers)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        const Result result
+            = Simulation({.seed = seed, .poison = true, .massCrashes = seed % 2 == 0, .resets = seed % 3 == 0, .rollingRestart = true})
+                  .run(60s);
+        cr_assert_leq(result.latePoisonRetries, allowedLateRetries, "seed %u: %zu late retries", seed, result.latePoisonRetries);
+    }
+    recordFaultCell("crash quarantine", "rolling restart", "retry", seeds);
+}
+
+// Shows that the test above sees control processes that don't tell one another.
+Test(crashquarantine, without_shared_evidence_a_rolling_restart_brings_late_retries)
+{
+    std::size_t highest = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        highest = std::max(
+            highest,
+            Simulation({.seed = seed, .poison = true, .rollingRestart = true, .sharesEvidence = false}).run(60s).latePoisonRetries);
+    }
+    cr_assert_gt(highest, allowedLateRetries);
+}
+
+// Guards against a suspicion that control processes prolong by telling one another of it.
+Test(crashquarantine, told_evidence_ends_with_the_evidence_that_it_was_told_from)
+{
+    const CrashSuspicionsOptions options{.suspectTime = 10min, .maximumEntries = 1000};
+    std::array<SuspectContents, 2> controls{SuspectContents(options), SuspectContents(options)};
+    const TimePoint start{1h};
+    for (const char *server : {"1", "2"}) {
+        controls[0].add({.digest = "poison", .replica = {.service = "s", .group = "", .address = server}, .replicaIncarnation = 1}, start);
+    }
+    TimePoint now = start;
+    for (int step = 0; step < 1300; ++step) {
+        now += 500ms;
+        SuspectContents &teller = controls[static_cast<std::size_t>(step % 2)];
+        SuspectContents &listener = controls[static_cast<std::size_t>(1 - step % 2)];
+        for (const TimedEvidence &known : teller.evidence(now)) {
+            listener.add(known.evidence, known.at);
+        }
+        if (step % 100 == 50) {
+            listener = SuspectContents(options);
+        }
+        const bool listed = !controls[0].list(now).empty() || !controls[1].list(now).empty();
+        cr_assert(!listed || now - start < options.quarantine);
+    }
+    cr_assert(controls[0].list(now).empty() && controls[1].list(now).empty());
+}
+
 // Guards against innocent requests that lose their retries because they ran on servers that crashed, or whose connections were
 // reset. Of a thousand lost requests at most one may.
 Test(crashquarantine, mass_crashes_and_resets_make_no_other_request_suspect)
