Check again that a connection may be closed for a new one

Between the choice of a connection and its close on its own strand, its request could arrive whole and its answer could begin to be written; the close would have cut that answer. Change: the rank is taken again on the strand, and the connection stays if it has none any more.

--- a/src/galenawell/transport/httpconnection.h
+++ b/src/galenawell/transport/httpconnection.h
@@ -72,6 +72,18 @@
     bool watchingCaller = false;
 };
 
+// Which connection is closed first for a new one: by phase, then the longest in it.
+struct HttpServer::ClosingRank
+{
+    bool isBefore(const ClosingRank &other) const
+    {
+        return this->phase != other.phase ? this->phase < other.phase : this->time > other.time;
+    }
+
+    ConnectionPhase phase;
+    Duration time;
+};
+
 // A request that is being read.
 struct HttpServer::RequestRead
 {
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -237,29 +237,33 @@
     }
 }
 
+std::optional<HttpServer::ClosingRank> HttpServer::closingRankOf(const Connection &connection, TimePoint now)
+{
+    const Duration time = connection.timeInPhase(now);
+    const ConnectionPhase phase = connection.phase;
+    const bool isAnswered = phase == ConnectionPhase::Writing && time < stalledWriteTime;
+    if (phase == ConnectionPhase::Handling || isAnswered) {
+        return std::nullopt;
+    }
+    // One that has just been opened comes after the idle ones.
+    const bool isNew = phase == ConnectionPhase::Silent && time < firstRequestTime;
+    return ClosingRank{.phase = isNew ? ConnectionPhase::Reading : phase, .time = time};
+}
+
 bool HttpServer::makeRoom()
 {
     const std::lock_guard lock(this->connectionsMutex);
     const TimePoint now = MonotonicClock::now();
-    // The least useful connection is closed: by phase, then by the time in it.
-    using Rank = std::pair<int, Duration>;
-    const auto rank = [now](const Connection &connection) -> std::optional<Rank> {
-        const Duration time = connection.timeInPhase(now);
-        const ConnectionPhase phase = connection.phase;
-        if (connection.replaced || phase == ConnectionPhase::Handling || (phase == ConnectionPhase::Writing && time < stalledWriteTime)) {
-            return std::nullopt;
-        }
-        const bool mayHaveRequest = phase == ConnectionPhase::Silent && time < firstRequestTime;
-        const int order = mayHaveRequest ? static_cast<int>(ConnectionPhase::Idle) * 2 + 1 : static_cast<int>(phase) * 2;
-        return Rank(-order, time);
-    };
     std::shared_ptr<Connection> chosen;
-    std::optional<Rank> highest;
+    std::optional<ClosingRank> first;
     for (auto &[pointer, weak] : this->connections) {
         const std::shared_ptr<Connection> connection = weak.lock();
-        const std::optional<Rank> own = connection == nullptr ? std::nullopt : rank(*connection);
-        if (own && (!highest || *own > *highest)) {
-            highest = own;
+        if (connection == nullptr || connection->replaced) {
+            continue;
+        }
+        const std::optional<ClosingRank> rank = closingRankOf(*connection, now);
+        if (rank && (!first || rank->isBefore(*first))) {
+            first = rank;
             chosen = connection;
         }
     }
@@ -268,9 +272,11 @@
     }
     chosen->replaced = true;
     Asio::post(chosen->stream.get_executor(), [chosen] {
-        // A request may have arrived whole in the meantime.
-        if (chosen->phase != ConnectionPhase::Handling) {
+        // Its request may have arrived whole in the meantime, and even be answered.
+        if (closingRankOf(*chosen, MonotonicClock::now())) {
             chosen->abort();
+        } else {
+            chosen->replaced = false;
         }
     });
     return true;
--- a/src/galenawell/transport/httpserver.h
+++ b/src/galenawell/transport/httpserver.h
@@ -128,11 +128,14 @@
 private:
     struct Connection;
     struct RequestRead;
+    struct ClosingRank;
     enum class ReadOutcome : std::uint8_t { Complete, Closed, TimedOut, TooLarge, Malformed, OutOfMemory };
     using RequestParser = Http::request_parser<Http::string_body>;
 
     Asio::awaitable<void> acceptLoop();
     Asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+    // Absent if the connection must not be closed for another.
+    static std::optional<ClosingRank> closingRankOf(const Connection &connection, TimePoint now);
     // True if a connection is left for the newest one, if need be because another is being closed.
     bool makeRoom();
     // Answers a connection that isn't served, unless too many are being closed already.
