Test deeply nested queries against the processes

What callers saw: a query of 500 KB to the JSON interface, nested 250,000 deep, got no answer: its connection ended. Cause: writing the document again, for its digest, recursed once a level and took the stack of the process. Change: this test; the bound of depth is that of parseBoundedJson.

--- a/tests/process/test_path.cpp
+++ b/tests/process/test_path.cpp
@@ -76,6 +76,24 @@
     cr_assert_eq(installation.metric("front-1", malformed), 2);
 }
 
+// Guards against a query whose nesting takes the stack of the process.
+Test(path, deeply_nested_queries_end_no_process, .timeout = 120)
+{
+    constexpr std::size_t depth = 250'000;
+    TemporaryInstallation test("nesting");
+    Installation &installation = test.installation;
+    cr_assert(installation.waitUntilServing(smallConfiguration()));
+    const std::string value = std::string(depth, '[') + std::string(depth, ']');
+    for (const char *idempotent : {"true", "false"}) {
+        const std::string query = R"({"id":"nested","service":"drafting-desk","idempotent":)" + std::string(idempotent)
+            + R"(,"body":{"kind":"rows","prefix":)" + value + "}}";
+        const HttpReply reply
+            = httpCall(HttpCall{.address = installation.callerAddress("front-1"), .method = "POST", .target = "/v1/query", .body = query});
+        cr_assert_eq(reply.status, 400U, "%u: %s", reply.status, reply.body.substr(0, 200).c_str());
+    }
+    cr_assert_eq(installation.query("front-1", searchRequest("after")).status, 200U);
+}
+
 // Guards against a graceful shutdown that drops requests in flight or doesn't report to callers whether their request ran.
 Test(path, a_graceful_shutdown_of_a_front_drops_no_request, .timeout = 120)
 {
