--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -141,6 +141,15 @@
         return echo && std::ranges::find(this->repeatable, echo->value, &Repeatable::echo) != this->repeatable.end();
     }
 
+    void noteReply(const ExchangeResult &result, TimePoint now)
+    {
+        this->lastReply = now;
+        if (const auto timeout = parseKeepAliveTimeout(findHeader(result.headers, "Keep-Alive"))) {
+            const std::chrono::milliseconds keepAlive = *timeout;
+            this->idleTimeout = std::min<std::chrono::milliseconds>(maximumIdleTime, keepAlive - keepAlive / keepAliveMarginDivisor);
+        }
+    }
+
     void noteRepeatable(const ExchangeRequest &request, TimePoint now)
     {
         std::erase_if(this->repeatable, [now](const Repeatable &earlier) { return earlier.expiry <= now; });
@@ -176,7 +185,7 @@
             if (this->idle[index]->hasCarried(echo)) {
                 continue;
             }
-            const std::shared_ptr<Connection> connection = this->idle[index];
+            std::shared_ptr<Connection> connection = std::move(this->idle[index]);
             this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(index));
             if (now - connection->lastReply < connection->idleTimeout && !connection->stale()) {
                 return connection;
@@ -185,6 +194,14 @@
         return nullptr;
     }
 
+    void noteReply(std::uint64_t connectionNumber, TimePoint now)
+    {
+        if (connectionNumber >= this->newestRepliedNumber) {
+            this->newestRepliedNumber = connectionNumber;
+            this->newestReplyTime = now.time_since_epoch().count();
+        }
+    }
+
     void putIdle(std::shared_ptr<Connection> connection)
     {
         const std::lock_guard lock(this->mutex);
@@ -508,15 +525,8 @@
     result.headers = copyHeaders(parser->get());
     result.body = std::move(parser->get().body());
     result.reservation = reservation;
-    if (const auto timeout = parseKeepAliveTimeout(findHeader(result.headers, "Keep-Alive"))) {
-        const std::chrono::milliseconds keepAlive = *timeout;
-        connection->idleTimeout = std::min<std::chrono::milliseconds>(maximumIdleTime, keepAlive - keepAlive / keepAliveMarginDivisor);
-    }
-    connection->lastReply = now;
-    if (connection->number >= server->newestRepliedNumber) {
-        server->newestRepliedNumber = connection->number;
-        server->newestReplyTime = now.time_since_epoch().count();
-    }
+    connection->noteReply(result, now);
+    server->noteReply(connection->number, now);
     if (!isSuccess(result.httpStatus)) {
         connection->noteRepeatable(request, now);
     }
