--- a/tests/process/installation.cpp
+++ b/tests/process/installation.cpp
@@ -324,6 +324,16 @@
     return addressOf(this->instances.at(instance).operatorPort);
 }
 
+std::string Installation::backendAddress(const std::string &front) const
+{
+    return loopback + ":" + std::to_string(this->instances.at(front).backendPort);
+}
+
+int Installation::processId(const std::string &instance) const
+{
+    return this->instances.at(instance).processId;
+}
+
 std::string Installation::standinControlAddress() const
 {
     return addressOf(this->standinPort);
--- a/tests/process/installation.h
+++ b/tests/process/installation.h
@@ -75,6 +75,8 @@
     static std::string controlName(std::size_t index);
     std::string callerAddress(const std::string &front) const;
     std::string operatorAddress(const std::string &instance) const;
+    std::string backendAddress(const std::string &front) const;
+    int processId(const std::string &instance) const;
     std::string standinControlAddress() const;
     std::string tokenFile() const;
     const std::string &token() const;
