--- a/tests/fault/consensus/test_storagefaults.cpp
+++ b/tests/fault/consensus/test_storagefaults.cpp
@@ -174,6 +174,17 @@
         return true;
     }
 
+    // The newest change, and what each member has.
+    std::string describeMembers()
+    {
+        std::string text = "change " + std::to_string(this->number) + ", members have";
+        for (const std::shared_ptr<ReplicatedLog> &log : this->logs) {
+            const auto newest = [](const ControlState &state) { return state.view()->configurationNumber; };
+            text += " " + std::to_string(this->ioThread.start(log->inspect(newest)).get());
+        }
+        return text;
+    }
+
     std::array<TemporaryFolder, memberCount> folders;
 
 private:
@@ -188,25 +199,44 @@
     std::array<std::shared_ptr<ReplicatedLog>, memberCount> logs;
 };
 
-void failEachDiskInTurn(const std::set<Call> &calls)
+struct DiskFaultOutcome
+{
+    bool acknowledgesChanges = false;
+    std::size_t faults = 0;
+    bool allHaveNewest = false;
+    std::string members;
+};
+
+DiskFaultOutcome runWithDiskFaults(const std::set<Call> &calls)
 {
     constexpr std::chrono::milliseconds faultDuration{700};
     Cluster cluster;
-    cr_assert(cluster.change());
     const std::size_t faultsBefore = FaultyFiles::instance().faults();
+    DiskFaultOutcome outcome{.acknowledgesChanges = cluster.change()};
     for (const TemporaryFolder &folder : cluster.folders) {
         const std::size_t before = FaultyFiles::instance().faults();
         const auto end = std::chrono::steady_clock::now() + faultDuration;
         FaultyFiles::instance().fail(folder.path, calls);
-        while (std::chrono::steady_clock::now() < end || FaultyFiles::instance().faults() == before) {
-            cr_assert(cluster.change());
+        while (outcome.acknowledgesChanges && (std::chrono::steady_clock::now() < end || FaultyFiles::instance().faults() == before)) {
+            outcome.acknowledgesChanges = cluster.change();
         }
         FaultyFiles::instance().heal();
         std::this_thread::sleep_for(300ms);
     }
-    cr_assert(FaultyFiles::instance().faults() >= faultsBefore + Cluster::memberCount);
-    cr_assert(cluster.change());
-    cr_assert(cluster.allHaveNewest());
+    outcome.faults = FaultyFiles::instance().faults() - faultsBefore;
+    outcome.acknowledgesChanges = outcome.acknowledgesChanges && cluster.change();
+    outcome.allHaveNewest = outcome.acknowledgesChanges && cluster.allHaveNewest();
+    outcome.members = cluster.describeMembers();
+    return outcome;
+}
+
+// Asserts once the threads of the cluster have ended: they would use objects that a failed assertion destroys.
+void failEachDiskInTurn(const std::set<Call> &calls)
+{
+    const DiskFaultOutcome outcome = runWithDiskFaults(calls);
+    cr_assert(outcome.acknowledgesChanges, "no member acknowledged a change in time; %s", outcome.members.c_str());
+    cr_assert_geq(outcome.faults, Cluster::memberCount);
+    cr_assert(outcome.allHaveNewest, "not all members have the newest change; %s", outcome.members.c_str());
 }
 
 } // namespace
