Ask in one place whether a writer has stalled, and drop what nothing uses

RequestMemoryHolder::addRegardless and the base of RequestMemory had no user. Change: Connection::isStalledWriter serves both, and is asked again before the close.

--- a/src/galenawell/transport/httpconnection.h
+++ b/src/galenawell/transport/httpconnection.h
@@ -23,6 +23,9 @@
     Handling,
 };
 
+// A caller that has read nothing of its answer for this long is cut off when room is short.
+inline constexpr std::chrono::milliseconds stalledWriteTime{1000};
+
 struct HttpServer::Connection
 {
     explicit Connection(Tcp::socket &&socket)
@@ -41,6 +44,12 @@
         return now.time_since_epoch() - Duration(this->phaseSince.load());
     }
 
+    // True if the caller has read nothing of its answer for a while.
+    bool isStalledWriter(TimePoint now) const
+    {
+        return this->phase == ConnectionPhase::Writing && this->timeInPhase(now) >= stalledWriteTime;
+    }
+
     // Ends the pending operations and all later ones.
     void abort()
     {
--- a/src/galenawell/transport/httpserver.cpp
+++ b/src/galenawell/transport/httpserver.cpp
@@ -11,8 +11,6 @@
 
 constexpr std::chrono::milliseconds acceptRetryDelay{50};
 constexpr std::chrono::milliseconds writeTimeout{10000};
-// A caller that has read nothing of its answer for this long is cut off when room is short.
-constexpr std::chrono::milliseconds stalledWriteTime{1000};
 // Size of the read for the first bytes of a request, and of one read while a request is handled.
 constexpr std::size_t firstReadBytes = 4096;
 // Bytes of later requests that are taken while a request is handled; more wait unread.
@@ -226,11 +224,12 @@
     const TimePoint now = MonotonicClock::now();
     for (auto &[pointer, weak] : this->connections) {
         const std::shared_ptr<Connection> connection = weak.lock();
-        if (connection == nullptr || connection->phase != ConnectionPhase::Writing || connection->timeInPhase(now) < stalledWriteTime) {
+        if (connection == nullptr || !connection->isStalledWriter(now)) {
             continue;
         }
         Asio::post(connection->stream.get_executor(), [connection] {
-            if (connection->phase == ConnectionPhase::Writing) {
+            // The caller may have read on, or sent its next request, in the meantime.
+            if (connection->isStalledWriter(MonotonicClock::now())) {
                 connection->abort();
             }
         });
@@ -241,8 +240,7 @@
 {
     const Duration time = connection.timeInPhase(now);
     const ConnectionPhase phase = connection.phase;
-    const bool isAnswered = phase == ConnectionPhase::Writing && time < stalledWriteTime;
-    if (phase == ConnectionPhase::Handling || isAnswered) {
+    if (phase == ConnectionPhase::Handling || (phase == ConnectionPhase::Writing && !connection.isStalledWriter(now))) {
         return std::nullopt;
     }
     // One that has just been opened comes after the idle ones.
--- a/src/galenawell/transport/requestmemory.cpp
+++ b/src/galenawell/transport/requestmemory.cpp
@@ -138,13 +138,6 @@
     return true;
 }
 
-void RequestMemoryHolder::addRegardless(std::size_t bytes)
-{
-    const std::lock_guard lock(this->memory->mutex);
-    this->memory->usedBytes += bytes;
-    this->held += bytes;
-}
-
 void RequestMemoryHolder::releaseTo(std::size_t bytes)
 {
     const std::lock_guard lock(this->memory->mutex);
--- a/src/galenawell/transport/requestmemory.h
+++ b/src/galenawell/transport/requestmemory.h
@@ -7,7 +7,6 @@
 
 #include "galenawell/core/clock.h"
 
-#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -29,7 +28,7 @@
     TooLarge,
 };
 
-class RequestMemory : public std::enable_shared_from_this<RequestMemory>
+class RequestMemory
 {
 public:
     explicit RequestMemory(std::size_t limitBytes);
@@ -80,8 +79,6 @@
     MemoryGrant growTo(std::size_t bytes, TimePoint now);
     // Asks for more without ending other requests for it.
     bool tryAdd(std::size_t bytes);
-    // Counts bytes that can't be refused any more.
-    void addRegardless(std::size_t bytes);
     void releaseTo(std::size_t bytes);
     // From now on the request is whole and isn't ended. False if it is being ended already, so that it must be refused.
     bool setComplete();
