Log which connection carried a failed attempt

Connections are numbered when they are created, in one sequence for each process, and the number is part of the result of an exchange. attempt_failed has it as "connection".

--- a/src/galenawell/front/requestcodec.h
+++ b/src/galenawell/front/requestcodec.h
@@ -41,7 +41,8 @@
     std::optional<RetryReason> failure;
     // The reply has the server's proof, and its status doesn't guarantee that the request has not run.
     bool forwardable = false;
-    // The request was sent on a new connection.
+    // Number of the connection that carried the request, and whether it was opened for it.
+    std::uint64_t connection = 0;
     bool freshConnection = false;
     std::optional<LoadReport> load;
     ServerState state;
--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -271,6 +271,7 @@
         this->handleFailure(send,
                             SubrequestFailure{.reason = *reply.failure,
                                               .countsAsReplicaFailure = *reply.failure != RetryReason::Overloaded,
+                                              .connection = reply.connection,
                                               .freshConnection = reply.freshConnection,
                                               .elapsed = latency});
         return;
@@ -298,6 +299,7 @@
                                         .text("server", send.replica->record.key.address)
                                         .text("reason", toString(failure.reason))
                                         .flag("hedge", send.hedge)
+                                        .number("connection", static_cast<std::int64_t>(failure.connection))
                                         .flag("fresh_connection", failure.freshConnection)
                                         .milliseconds("after", failure.elapsed)
                                         .milliseconds("time_left", send.expiry - MonotonicClock::now()));
--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -8,6 +8,7 @@
 {
     SubrequestFailure failure;
     failure.countsAsReplicaFailure = !result.connectionAtFault;
+    failure.connection = result.connection;
     failure.freshConnection = result.connected;
     failure.elapsed = result.latency;
     switch (result.status) {
--- a/src/galenawell/query/scatter.h
+++ b/src/galenawell/query/scatter.h
@@ -68,7 +68,8 @@
     RetryReason reason = RetryReason::ConnectionLost;
     // False if only one connection is silent while newer connections to the replica work.
     bool countsAsReplicaFailure = true;
-    // The subrequest was sent on a new connection.
+    // Number of the connection that carried the subrequest, and whether it was opened for it.
+    std::uint64_t connection = 0;
     bool freshConnection = false;
     std::chrono::microseconds elapsed{0};
 };
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -117,8 +117,9 @@
 
 struct BackendClient::Connection
 {
-    explicit Connection(const Asio::any_io_executor &executor)
+    Connection(const Asio::any_io_executor &executor, std::uint64_t connectionNumber)
         : stream(Asio::make_strand(executor))
+        , number(connectionNumber)
     {
     }
 
@@ -165,8 +166,9 @@
         TimePoint expiry;
     };
 
-    // 0 until the connection is established; later connections to a server have higher numbers.
-    std::uint64_t number = 0;
+    // Higher than those of the connections that were opened before.
+    const std::uint64_t number;
+    bool established = false;
     // Exchanges on this connection so far, so that a late cancel can't close it under the next one.
     std::uint64_t exchangeCount = 0;
     TimePoint lastReply;
@@ -233,7 +235,6 @@
     // From the latest request.
     std::atomic<std::size_t> minimumIdle{std::numeric_limits<std::size_t>::max()};
     std::atomic<std::chrono::milliseconds> surplusIdleTimeout{std::chrono::hours(1)};
-    std::atomic<std::uint64_t> nextNumber{1};
     // Highest number of a connection that received a reply, and the time of its last reply.
     std::atomic<std::uint64_t> newestRepliedNumber{0};
     std::atomic<std::int64_t> newestReplyTime{0};
@@ -340,7 +341,7 @@
         connection = server->takeIdle(request.echo, MonotonicClock::now());
     }
     if (connection == nullptr) {
-        connection = std::make_shared<Connection>(this->executor);
+        connection = std::make_shared<Connection>(this->executor, this->nextConnectionNumber++);
     }
     const std::uint64_t exchangeNumber = ++connection->exchangeCount;
     {
@@ -355,9 +356,9 @@
     }
     ExchangeResult result = co_await Asio::co_spawn(
         connection->stream.get_executor(), this->runExchange(server, connection, std::move(request), handle), Asio::use_awaitable);
-    const bool reconnect = this->options.reconnectAfterCancel && result.status == ExchangeStatus::Cancelled && connection->number != 0;
+    const bool reconnect = this->options.reconnectAfterCancel && result.status == ExchangeStatus::Cancelled && connection->established;
     if (reconnect) {
-        auto replacement = std::make_shared<Connection>(this->executor);
+        auto replacement = std::make_shared<Connection>(this->executor, this->nextConnectionNumber++);
         Asio::co_spawn(
             replacement->stream.get_executor(),
             [server, replacement, address] { return openIdleConnection(server, replacement, address); },
@@ -381,7 +382,7 @@
         co_return;
     }
     connection->stream.socket().set_option(Tcp::no_delay(true));
-    connection->number = server->nextNumber++;
+    connection->established = true;
     connection->lastReply = MonotonicClock::now();
     server->putIdle(std::move(connection));
 }
@@ -453,6 +454,7 @@
                                                            std::shared_ptr<ExchangeHandle> handle)
 {
     ExchangeResult result;
+    result.connection = connection->number;
     const TimePoint startedAt = MonotonicClock::now();
     Beast::tcp_stream &stream = connection->stream;
     stream.expires_at(request.expiry);
@@ -460,7 +462,7 @@
         result.status = ExchangeStatus::Cancelled;
         co_return result;
     }
-    if (connection->number == 0) {
+    if (!connection->established) {
         const std::optional<Tcp::endpoint> endpoint = parseEndpoint(request.address);
         if (!endpoint) {
             co_return result;
@@ -476,7 +478,7 @@
         }
         Beast::error_code ignored;
         stream.socket().set_option(Tcp::no_delay(true), ignored);
-        connection->number = server->nextNumber++;
+        connection->established = true;
     }
     std::string head = encodeHead(request);
     const std::array<Asio::const_buffer, 2> message{Asio::buffer(head), Asio::buffer(bodyOf(request))};
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -80,6 +80,8 @@
     std::string body;
     // Of the reply; kept until the reply has been passed on.
     std::shared_ptr<const ReplyReservation> reservation{};
+    // Number of the connection that carried the exchange.
+    std::uint64_t connection = 0;
     // True if the exchange opened a new connection.
     bool connected = false;
     // True if no process listened at the address.
@@ -156,6 +158,7 @@
     Asio::any_io_executor executor;
     BackendClientOptions options;
     std::shared_ptr<ReplyMemory> replyMemory;
+    std::atomic<std::uint64_t> nextConnectionNumber{1};
     mutable std::shared_mutex mutex;
     std::map<std::string, std::shared_ptr<Server>> servers;
 };
