Keep the connections that carried a request with the request, not its id with each connection

What callers saw: nothing wrong in a reply, but each rejected request made those after it dearer.

Fix: a request knows the numbers of the connections that have carried it, and the pool leaves these out. A request is sent a few times at most, and the list ends with it, so neither memory nor time depend on the traffic. The guarantee doesn't end after 60 s any more, and holds for requests without an id.

--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -151,6 +151,7 @@
     ExchangeRequest request = this->context.codec->encodeSubrequest(*this->options.request, send.replica->record, timeLeft);
     request.expiry = send.expiry;
     request.connectTimeout = connectTimeout;
+    request.history = this->connections;
     request.minimumIdle = send.replica->idlePolicy.minimumIdle;
     request.surplusIdleTimeout = send.replica->idlePolicy.surplusIdleTimeout;
     const TimePoint sentAt = MonotonicClock::now();
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -82,6 +82,8 @@
     // Of the request without the group; empty until it is needed.
     ContentDigest contentDigest;
     Scatter scatter;
+    // Of all sends of the request.
+    std::shared_ptr<ConnectionHistory> connections = std::make_shared<ConnectionHistory>();
     std::map<std::uint64_t, std::shared_ptr<ExchangeHandle>> inFlight;
     std::optional<Asio::steady_timer> timer;
     std::optional<ScatterOutcome> outcome;
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -16,8 +16,6 @@
 // Idle connections are closed before the server's keep-alive timeout, by this fraction (1/n) of it.
 constexpr int keepAliveMarginDivisor = 4;
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
-// Requests may be repeated after the expiry of one exchange, but not for longer than this.
-constexpr std::chrono::seconds repetitionTime{60};
 // Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
 constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
 
@@ -41,11 +39,6 @@
     return status >= 100 && status < 200 && status != switchingProtocols;
 }
 
-bool isSuccess(unsigned status)
-{
-    return status >= 200 && status < 300;
-}
-
 // Any three digits can be parsed as a status, but not any of them is one.
 bool isFinalStatus(unsigned status)
 {
@@ -135,13 +128,6 @@
 
     Beast::tcp_stream stream;
     Beast::flat_buffer buffer{maximumBufferedBytes};
-    // True if the connection carried an exchange with this echo that may be repeated. A late copy of its reply would be taken for
-    // the reply to the repetition.
-    bool hasCarried(const std::optional<HttpHeader> &echo) const
-    {
-        return echo && std::ranges::find(this->repeatable, echo->value, &Repeatable::echo) != this->repeatable.end();
-    }
-
     void noteReply(const ExchangeResult &result, TimePoint now)
     {
         this->lastReply = now;
@@ -151,21 +137,6 @@
         }
     }
 
-    void noteRepeatable(const ExchangeRequest &request, TimePoint now)
-    {
-        std::erase_if(this->repeatable, [now](const Repeatable &earlier) { return earlier.expiry <= now; });
-        if (request.echo) {
-            this->repeatable.push_back({.echo = request.echo->value, .expiry = std::max<TimePoint>(request.expiry, now + repetitionTime)});
-        }
-    }
-
-    // An exchange whose reply wasn't a success, until its request can't be repeated any more.
-    struct Repeatable
-    {
-        std::string echo;
-        TimePoint expiry;
-    };
-
     // Higher than those of the connections that were opened before.
     const std::uint64_t number;
     bool established = false;
@@ -174,17 +145,16 @@
     TimePoint lastReply;
     // Shorter than the server's keep-alive timeout, so that the server doesn't close it while a request is sent.
     std::chrono::milliseconds idleTimeout{maximumIdleTime};
-    std::vector<Repeatable> repeatable;
 };
 
 struct BackendClient::Server
 {
-    // The most recently used idle connection that may carry the exchange; nullptr if there is none.
-    std::shared_ptr<Connection> takeIdle(const std::optional<HttpHeader> &echo, TimePoint now)
+    // The most recently used idle connection that isn't in the history, if there is one; else nullptr.
+    std::shared_ptr<Connection> takeIdle(const ConnectionHistory *history, TimePoint now)
     {
         const std::lock_guard lock(this->mutex);
         for (std::size_t index = this->idle.size(); index-- > 0;) {
-            if (this->idle[index]->hasCarried(echo)) {
+            if (history != nullptr && history->contains(this->idle[index]->number)) {
                 continue;
             }
             std::shared_ptr<Connection> connection = std::move(this->idle[index]);
@@ -338,11 +308,14 @@
     server->surplusIdleTimeout = request.surplusIdleTimeout;
     std::shared_ptr<Connection> connection;
     if (!request.freshConnection) {
-        connection = server->takeIdle(request.echo, MonotonicClock::now());
+        connection = server->takeIdle(request.history.get(), MonotonicClock::now());
     }
     if (connection == nullptr) {
         connection = std::make_shared<Connection>(this->executor, this->nextConnectionNumber++);
     }
+    if (request.history != nullptr) {
+        request.history->add(connection->number);
+    }
     const std::uint64_t exchangeNumber = ++connection->exchangeCount;
     {
         const std::lock_guard lock(handle->mutex);
@@ -529,9 +502,6 @@
     result.reservation = reservation;
     connection->noteReply(result, now);
     server->noteReply(connection->number, now);
-    if (!isSuccess(result.httpStatus)) {
-        connection->noteRepeatable(request, now);
-    }
     const bool repeatsEcho = !request.echo || findHeader(result.headers, request.echo->name) == request.echo->value;
     // Fresh connections aren't kept: requests that require one never reuse it, so it would occupy a connection of the server.
     const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled() && repeatsEcho;
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -4,6 +4,7 @@
 
 #include "galenawell/core/clock.h"
 #include "galenawell/transport/asio.h"
+#include "galenawell/transport/connectionhistory.h"
 #include "galenawell/transport/httpheader.h"
 #include "galenawell/transport/replymemory.h"
 
@@ -67,6 +68,9 @@
     // Header that the reply to this request repeats. After a reply without it, or with another value, the connection isn't used
     // again: the reply to this request may still be due on it.
     std::optional<HttpHeader> echo{};
+    // Shared by the exchanges that send the same request, if they are sent alike: none of them uses a connection that has carried
+    // another one, as a late copy of its reply would be taken for the reply to this one.
+    std::shared_ptr<ConnectionHistory> history{};
     // Idle connections to the server beyond minimumIdle are closed after surplusIdleTimeout.
     std::size_t minimumIdle = std::numeric_limits<std::size_t>::max();
     std::chrono::milliseconds surplusIdleTimeout = std::chrono::hours(1);
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <malloc.h>
 #include <poll.h>
 #include <thread>
 
@@ -127,10 +128,12 @@
 Test(backend_client, a_request_is_not_repeated_on_the_connection_that_carried_its_rejection)
 {
     ClientFixture fixture;
-    const auto send = [&fixture](const std::string &id) {
+    const auto history = std::make_shared<ConnectionHistory>();
+    const auto send = [&](const std::string &id) {
         ExchangeRequest request{
             .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
         request.echo = HttpHeader{.name = "Id", .value = id};
+        request.history = id == "a" ? history : nullptr;
         return fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
     };
     const auto reply = [](const std::string &status, const std::string &id) {
@@ -157,6 +160,43 @@
     cr_assert_eq(repeated.get().httpStatus, 200);
 }
 
+// Guards against a connection that remembers each rejected request it has carried: its memory, and the time to search it, would grow
+// with the traffic.
+Test(backend_client, rejected_requests_leave_nothing_on_a_kept_connection)
+{
+    constexpr int requests = 2000;
+    constexpr std::size_t idBytes = 4096;
+    ClientFixture fixture;
+    std::jthread server([&fixture] {
+        PlainSocket socket = fixture.accept();
+        for (std::string head = socket.readUntil("\r\n\r\n"); !head.empty(); head = socket.readUntil("\r\n\r\n")) {
+            const std::size_t start = head.find("Id: ");
+            socket.send("HTTP/1.1 503 Busy\r\n" + head.substr(start, head.find('\r', start) - start) + "\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    const auto reject = [&fixture](int first, int count) {
+        for (int index = first; index < first + count; ++index) {
+            ExchangeRequest request{
+                .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
+            request.headers = {{"Id", std::string(idBytes, 'x') + std::to_string(index)}};
+            request.echo = request.headers.front();
+            request.history = std::make_shared<ConnectionHistory>();
+            std::future<ExchangeResult> result
+                = fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
+            cr_assert_eq(result.get().httpStatus, 503);
+        }
+    };
+    constexpr int warmUp = 100;
+    reject(0, warmUp);
+    const std::size_t before = mallinfo2().uordblks;
+    reject(warmUp, requests);
+    const std::size_t after = mallinfo2().uordblks;
+    const std::size_t idle = fixture.client.idleConnections();
+    fixture.client.retain({});
+    cr_assert_eq(idle, 1);
+    cr_assert_lt(after, before + requests * idBytes / 10, "%zu bytes more", after - before);
+}
+
 // Guards against a late reply to a cancelled request being read as the reply to the next one.
 Test(backend_client, the_connection_of_a_cancelled_exchange_is_not_used_again)
 {
