Don't take a status of a request that has run for a proof that it hasn't

What callers could see: a request that isn't idempotent runs twice, or gets a 503 although it has run.

Cause: decodeReply() took any reply with Not-Executed for a rejection, whatever its status. A damaged or contradictory reply, a 200 or 500 with this header, counted as a proof that the request hasn't run, so it was sent to another server. The protocol gives this header to 4xx and 503 only, and counts a server's own 500 and 504 as run.

--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -123,6 +123,22 @@
     cr_assert(!decodeReply(429, {own, proof}).forwardable);
 }
 
+// Guards against a second run of a request that has run: a server that reports its result, or its own failure, has run it, also if the
+// reply says that it hasn't.
+Test(requestheaders, a_status_of_a_request_that_has_run_outweighs_not_executed)
+{
+    const HttpHeader own{"Attempt-Id", "id1"};
+    const HttpHeader proof{"Server-Stamp", "p"};
+    const HttpHeader notExecuted{"Not-Executed", "1"};
+    for (const unsigned status : {200U, 204U, 302U, 500U, 502U, 504U}) {
+        cr_assert(decodeReply(status, {own, notExecuted}).failure == RetryReason::InvalidReply, "%u", status);
+        cr_assert(decodeReply(status, {own, proof, notExecuted}).failure == RetryReason::InvalidReply, "%u", status);
+    }
+    for (const unsigned status : {400U, 408U, 429U, 503U}) {
+        cr_assert(decodeReply(status, {own, notExecuted}).failure == RetryReason::Overloaded, "%u", status);
+    }
+}
+
 // Guards against the late refusal of an earlier request being taken for that of the current one, which would then run twice.
 Test(requestheaders, the_refusal_of_another_request_does_not_mean_that_this_one_has_not_run)
 {
