--- a/tests/process/platform/platforminstallation.cpp
+++ b/tests/process/platform/platforminstallation.cpp
@@ -216,7 +216,8 @@
 {
     ++this->arrivalCount;
     if (request.header("Expected-Instance") != this->name) {
-        co_return HttpResponse{.status = 421, .headers = {{"Not-Executed", "1"}}};
+        co_return HttpResponse{.status = 421,
+                               .headers = {{"Attempt-Id", std::string(request.header("Attempt-Id"))}, {"Not-Executed", "1"}}};
     }
     const std::string id(request.header("Attempt-Id"));
     std::string statedLimit;
--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -117,7 +117,7 @@
     const HttpHeader own{"Attempt-Id", "id1"};
     const HttpHeader proof{"Server-Stamp", "p"};
     cr_assert(decodeReply(503, {own, {"Not-Executed", "1"}}).failure == RetryReason::Overloaded);
-    cr_assert(decodeReply(421, {}).failure == RetryReason::WrongServer);
+    cr_assert(decodeReply(421, {own}).failure == RetryReason::WrongServer);
     cr_assert(decodeReply(503, {own, proof}).failure == RetryReason::ServerFailed);
     cr_assert(!decodeReply(503, {own, proof}).forwardable);
     cr_assert(!decodeReply(429, {own, proof}).forwardable);
@@ -149,7 +149,20 @@
         const ServerReply own = decodeReply(status, {{"Attempt-Id", "id1"}, {"Not-Executed", "1"}});
         cr_assert(own.failure == (status == 421 ? RetryReason::WrongServer : RetryReason::Overloaded));
     }
-    cr_assert(decodeReply(503, {{"Not-Executed", "1"}}).failure == RetryReason::Overloaded);
+}
+
+// Guards against the rejection of an unknown request being taken for that of the current one, which may run all the same.
+Test(requestheaders, a_rejection_without_one_id_does_not_mean_that_the_request_has_not_run)
+{
+    const HttpHeader own{"Attempt-Id", "id1"};
+    const HttpHeader other{"Attempt-Id", "id0"};
+    const HttpHeader notExecuted{"Not-Executed", "1"};
+    for (const unsigned status : {421U, 429U, 503U}) {
+        cr_assert(decodeReply(status, {notExecuted}).failure == RetryReason::InvalidReply, "%u", status);
+        cr_assert(decodeReply(status, {own, other, notExecuted}).failure == RetryReason::InvalidReply, "%u", status);
+        cr_assert(decodeReply(status, {other, own, notExecuted}).failure == RetryReason::InvalidReply, "%u", status);
+        cr_assert(decodeReply(status, {own, own, notExecuted}).failure != RetryReason::InvalidReply, "%u", status);
+    }
 }
 
 // Guards against misreading the load report, whose fields are running, waiting and slots.
