Deliver the reply that arrives behind a copy of the reply to the request before

Cause: a server may send a reply twice; the second copy arrives where the next reply on the connection is due, and has the id of the request before. The client took it for the result of its exchange, reported a reply to another request, and closed the connection with the own reply still to come. A request that isn't idempotent can't be sent again, so its caller got a 502.

Fix: the client compares the id itself. A copy of the reply to the request before is skipped, at most 4 times, and reading goes on until the own reply or the expiry. Any other reply (of an unknown request, without an id) ends the exchange and the connection as before, as an invalid reply that proves nothing. Replies to other requests don't reach the decoder, the crash watch or the state of the server any more. galenawell_skipped_replies_total and replies_skipped show each skip.

The test for the old behaviour expected the foreign reply as the result; it is replaced by three that expect the own reply behind copies (whole, in pieces, twice, with interim replies), no result and no reuse for any other reply, and a lost request if the connection ends behind the copy.

--- a/src/galenawell/front/routedrun.cpp
+++ b/src/galenawell/front/routedrun.cpp
@@ -157,6 +157,7 @@
     const TimePoint sentAt = MonotonicClock::now();
     ExchangeResult result = co_await this->context.client->exchange(std::move(request), handle);
     this->inFlight.erase(send.subrequestId);
+    this->noteSkippedReplies(send, result);
     this->noteExchange(send, result, sentAt);
     if (result.status == ExchangeStatus::Completed) {
         const std::chrono::microseconds latency = result.latency;
@@ -176,6 +177,22 @@
     }
 }
 
+void RoutedRun::noteSkippedReplies(const SubrequestSend &send, const ExchangeResult &result)
+{
+    if (result.skippedReplies == 0) {
+        return;
+    }
+    this->context.metrics->count(CounterName::SkippedReplies, result.skippedReplies);
+    if (this->context.events->shouldLog(EventKind::Attempt)) {
+        this->context.events->write(EventKind::Attempt,
+                                    Event("replies_skipped")
+                                        .text("request", this->options.request->id)
+                                        .text("server", send.replica->record.key.address)
+                                        .number("connection", static_cast<std::int64_t>(result.connection))
+                                        .number("count", result.skippedReplies));
+    }
+}
+
 void RoutedRun::noteExchange(const SubrequestSend &send, const ExchangeResult &result, TimePoint sentAt)
 {
     const BackendRecord &server = send.replica->record;
--- a/src/galenawell/front/routedrun.h
+++ b/src/galenawell/front/routedrun.h
@@ -67,6 +67,7 @@
     // Applies what the server says of itself, also if the request has ended meanwhile.
     void noteServerState(const SubrequestSend &send, const ServerState &state);
     void noteServerLimit(const SubrequestSend &send, const ServerState &state, TimePoint sentAt);
+    void noteSkippedReplies(const SubrequestSend &send, const ExchangeResult &result);
     // Tells the crash watch what the end of an exchange shows.
     void noteExchange(const SubrequestSend &send, const ExchangeResult &result, TimePoint sentAt);
     void noteCrashes(const SubrequestSend &send, std::size_t count);
--- a/src/galenawell/telemetry/metrics.cpp
+++ b/src/galenawell/telemetry/metrics.cpp
@@ -39,6 +39,7 @@
     {"galenawell_turned_away_by_limits_total", "Subrequests not sent to the server that would be chosen, because of its limit"},
     {"galenawell_ended_requests_total", "Incomplete requests and unread answers that were ended to make room in memory"},
     {"galenawell_withheld_retries_total", "Retries and hedges not sent because the request has crashed several backend servers"},
+    {"galenawell_skipped_replies_total", "Copies of the reply to the request before, skipped ahead of the reply to a request"},
     {"galenawell_superseded_records_total", "Records of backend servers received after their announced shutdown"},
     {"galenawell_peer_messages_total", "Messages sent to other galenawell processes"},
     {"galenawell_peer_bytes_total", "Bytes sent to other galenawell processes"},
--- a/src/galenawell/telemetry/metrics.h
+++ b/src/galenawell/telemetry/metrics.h
@@ -39,6 +39,7 @@
     TurnedAwayByLimits,
     EndedRequests,
     WithheldRetries,
+    SkippedReplies,
     SupersededRecords,
     PeerMessages,
     PeerBytes,
--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds reconnectTimeout{1000};
 // Of the read buffer of a connection; larger than any header field or chunk header of a valid reply.
 constexpr std::size_t maximumBufferedBytes = std::size_t(64) * 1024;
+// A server that sends more copies of a reply is at fault.
+constexpr unsigned maximumSkippedReplies = 4;
+const Beast::error_code invalidReply = boost::system::errc::make_error_code(boost::system::errc::bad_message);
 
 // The timeout parameter of a Keep-Alive header field.
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view value)
@@ -142,6 +145,8 @@
     bool established = false;
     // Exchanges on this connection so far, so that a late cancel can't close it under the next one.
     std::uint64_t exchangeCount = 0;
+    // Of the last complete exchange; a copy of its reply may arrive later.
+    std::string previousId;
     TimePoint lastReply;
     // Shorter than the server's keep-alive timeout, so that the server doesn't close it while a request is sent.
     std::chrono::milliseconds idleTimeout{maximumIdleTime};
@@ -415,6 +420,7 @@
                                                             ReplyReservation &reservation)
 {
     ReplyBytes bytes(reservation);
+    bytes.add(connection->buffer.size());
     do {
         parser.emplace();
         parser->header_limit(request.maximumReplyHeaderBytes);
@@ -428,6 +434,39 @@
     co_return Beast::error_code();
 }
 
+Asio::awaitable<Beast::error_code> BackendClient::readOwnReply(std::shared_ptr<Connection> connection,
+                                                               const ExchangeRequest &request,
+                                                               std::optional<ReplyParser> &parser,
+                                                               ExchangeResult &result)
+{
+    while (true) {
+        const auto reservation = std::make_shared<ReplyReservation>(this->replyMemory);
+        const Beast::error_code error = co_await readReply(connection, request, parser, *reservation);
+        if (error) {
+            co_return error;
+        }
+        if (!isFinalStatus(parser->get().result_int()) || hasOtherTransferCoding(parser->get())) {
+            co_return invalidReply;
+        }
+        ExchangeResult reply;
+        reply.httpStatus = parser->get().result_int();
+        reply.headers = copyHeaders(parser->get());
+        reply.body = std::move(parser->get().body());
+        const std::string id = request.readId ? request.readId(reply) : request.id;
+        if (id == request.id) {
+            result.httpStatus = reply.httpStatus;
+            result.headers = std::move(reply.headers);
+            result.body = std::move(reply.body);
+            result.reservation = reservation;
+            co_return Beast::error_code();
+        }
+        if (id.empty() || id != connection->previousId || result.skippedReplies == maximumSkippedReplies) {
+            co_return invalidReply;
+        }
+        ++result.skippedReplies;
+    }
+}
+
 Asio::awaitable<ExchangeResult> BackendClient::runExchange(std::shared_ptr<Server> server,
                                                            std::shared_ptr<Connection> connection,
                                                            ExchangeRequest request,
@@ -469,14 +508,18 @@
         result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::NotSent;
         co_return result;
     }
-    const auto reservation = std::make_shared<ReplyReservation>(this->replyMemory);
     std::optional<ReplyParser> parser;
     Beast::error_code readError = writeError;
     if (!readError) {
-        readError = co_await readReply(connection, request, parser, *reservation);
+        readError = co_await this->readOwnReply(connection, request, parser, result);
     }
     const TimePoint now = MonotonicClock::now();
     result.latency = std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt);
+    if (readError == invalidReply) {
+        result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::InvalidReply;
+        stream.close();
+        co_return result;
+    }
     if (readError) {
         const bool timedOut = readError == Beast::error::timeout;
         result.status = timedOut ? ExchangeStatus::TimedOut : ExchangeStatus::Lost;
@@ -495,23 +538,14 @@
         stream.close();
         co_return result;
     }
-    if (!isFinalStatus(parser->get().result_int()) || hasOtherTransferCoding(parser->get())) {
-        result.status = handle->cancelled() ? ExchangeStatus::Cancelled : ExchangeStatus::InvalidReply;
-        stream.close();
-        co_return result;
-    }
     // A cancel from here on must not close the connection.
     ++connection->exchangeCount;
     result.status = ExchangeStatus::Completed;
-    result.httpStatus = parser->get().result_int();
-    result.headers = copyHeaders(parser->get());
-    result.body = std::move(parser->get().body());
-    result.reservation = reservation;
+    connection->previousId = std::move(request.id);
     connection->noteReply(result, now);
     server->noteReply(connection->number, now);
-    const bool repeatsEcho = !request.echo || findHeader(result.headers, request.echo->name) == request.echo->value;
     // Fresh connections aren't kept: requests that require one never reuse it, so it would occupy a connection of the server.
-    const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled() && repeatsEcho;
+    const bool reusable = parser->get().keep_alive() && connection->buffer.size() == 0 && !handle->cancelled();
     if (reusable && !request.freshConnection) {
         server->putIdle(connection);
     } else {
--- a/src/galenawell/transport/backendclient.h
+++ b/src/galenawell/transport/backendclient.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
     std::string body{};
 };
 
+struct ExchangeResult;
+
 struct ExchangeRequest
 {
     // "IP:port".
@@ -65,9 +68,10 @@
     std::uint32_t maximumReplyHeaderBytes = 16 * 1024;
     // Uses a new connection, as an idle one may have broken unnoticed; for requests that can't be retried after a lost reply.
     bool freshConnection = false;
-    // Header that the reply to this request repeats. After a reply without it, or with another value, the connection isn't used
-    // again: the reply to this request may still be due on it.
-    std::optional<HttpHeader> echo{};
+    // What replies to this request state, and how it is read from a reply; nothing is compared if there is no function. The function
+    // returns an empty text for a reply that states nothing, or contradicts itself.
+    std::string id{};
+    std::function<std::string(const ExchangeResult &)> readId{};
     // Shared by the exchanges that send the same request, if they are sent alike: none of them uses a connection that has carried
     // another one, as a late copy of its reply would be taken for the reply to this one.
     std::shared_ptr<ConnectionHistory> history{};
@@ -90,6 +94,8 @@
     bool connected = false;
     // True if no process listened at the address.
     bool refused = false;
+    // Further copies of the reply to the request before, which arrived ahead of the reply to this one.
+    unsigned skippedReplies = 0;
     std::chrono::microseconds latency{0};
     // True if a newer connection to the server received a reply during the exchange, so the server isn't at fault.
     bool connectionAtFault = false;
@@ -150,11 +156,16 @@
     // Reads one message, in parts, so that an endless one is noticed before it ends at a limit of the parser.
     static Asio::awaitable<Beast::error_code> readMessage(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes);
     static Asio::awaitable<Beast::error_code> readMore(std::shared_ptr<Connection> connection, ReplyParser &parser, ReplyBytes &bytes);
-    // Reads the final reply into the parser and skips interim ones.
+    // Reads one final reply into the parser and skips interim ones.
     static Asio::awaitable<Beast::error_code> readReply(std::shared_ptr<Connection> connection,
                                                         const ExchangeRequest &request,
                                                         std::optional<ReplyParser> &parser,
                                                         ReplyReservation &reservation);
+    // Reads until the reply to the request into the parser and the result, and skips copies of the reply before it.
+    Asio::awaitable<Beast::error_code> readOwnReply(std::shared_ptr<Connection> connection,
+                                                    const ExchangeRequest &request,
+                                                    std::optional<ReplyParser> &parser,
+                                                    ExchangeResult &result);
 
     static Asio::awaitable<void>
     openIdleConnection(std::shared_ptr<Server> server, std::shared_ptr<Connection> connection, std::string address);
--- a/tests/unit/platform/test_requestheaders.cpp
+++ b/tests/unit/platform/test_requestheaders.cpp
@@ -59,7 +59,7 @@
     cr_assert(findHeader(sent.headers, "Time-Remaining") == "450");
     cr_assert(findHeader(sent.headers, "Expected-Instance") == "i-7");
     cr_assert(findHeader(sent.shared->headers, "X-Kept") == "2");
-    cr_assert(sent.echo.has_value() && sent.echo->name == "Attempt-Id" && sent.echo->value == "id1");
+    cr_assert(sent.id == "id1" && sent.readId(serverReply(200, {{"Attempt-Id", "id1"}})) == "id1");
     for (const char *dropped : {"Connection", "X-Hop", "Content-Length", "Transfer-Encoding"}) {
         cr_assert(findHeader(sent.headers, dropped).empty() && findHeader(sent.shared->headers, dropped).empty(), "%s", dropped);
     }
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -132,7 +132,8 @@
     const auto send = [&](const std::string &id) {
         ExchangeRequest request{
             .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
-        request.echo = HttpHeader{.name = "Id", .value = id};
+        request.id = id;
+        request.readId = [](const ExchangeResult &result) { return std::string(findHeader(result.headers, "Id")); };
         request.history = id == "a" ? history : nullptr;
         return fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
     };
@@ -200,7 +201,8 @@
             ExchangeRequest request{
                 .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
             request.headers = {{"Id", std::string(idBytes, 'x') + std::to_string(index)}};
-            request.echo = request.headers.front();
+            request.id = request.headers.front().value;
+            request.readId = [](const ExchangeResult &result) { return std::string(findHeader(result.headers, "Id")); };
             request.history = std::make_shared<ConnectionHistory>();
             std::future<ExchangeResult> result
                 = fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
@@ -240,35 +242,122 @@
     cr_assert(next.get().status == ExchangeStatus::Completed);
 }
 
-// Guards against a connection that stays one reply behind after a server answered one request twice: each request that follows
-// would get the reply to the one before it.
-Test(backend_client, a_connection_with_the_reply_to_another_request_is_not_used_again)
+namespace {
+
+// Requests with an id, over one client, and replies that state an id in a header.
+struct IdentifiedRequests
 {
-    ClientFixture fixture;
-    const auto send = [&fixture](const std::string &id) {
+    std::future<ExchangeResult> send(const std::string &id)
+    {
         ExchangeRequest request{
-            .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
+            .address = toString(this->fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
         request.headers = {{"Id", id}};
-        request.echo = HttpHeader{.name = "Id", .value = id};
-        fixture.handle = std::make_shared<ExchangeHandle>();
-        return fixture.ioThread.start(fixture.client.exchange(std::move(request), fixture.handle));
-    };
-    const auto replyTo = [](const std::string &id) { return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nok"; };
-    std::future<ExchangeResult> first = send("1");
-    PlainSocket server = fixture.accept();
+        request.id = id;
+        request.readId = [](const ExchangeResult &result) { return std::string(findHeader(result.headers, "Id")); };
+        return this->fixture.ioThread.start(this->fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
+    }
+
+    static std::string replyTo(const std::string &id, const std::string &status = "200 OK")
+    {
+        return "HTTP/1.1 " + status + "\r\nId: " + id + "\r\nContent-Length: " + std::to_string(id.size()) + "\r\n\r\n" + id;
+    }
+
+    ClientFixture fixture;
+};
+
+} // namespace
+
+// Guards against losing the reply to a request because a second copy of the reply before it arrives first: the request has run, and
+// its caller would get an error.
+Test(backend_client, the_reply_behind_a_copy_of_the_reply_before_is_delivered)
+{
+    IdentifiedRequests requests;
+    std::future<ExchangeResult> first = requests.send("1");
+    PlainSocket server = requests.fixture.accept();
     server.readUntil("Id: 1");
-    server.send(replyTo("1"));
-    cr_assert(first.get().status == ExchangeStatus::Completed && fixture.client.idleConnections() == 1);
-    std::future<ExchangeResult> second = send("2");
-    server.readUntil("Id: 2");
-    server.send(replyTo("1"));
-    cr_assert(findHeader(second.get().headers, "Id") == "1");
-    cr_assert_eq(fixture.client.idleConnections(), 0);
-    std::future<ExchangeResult> third = send("3");
-    PlainSocket next = fixture.accept();
-    next.readUntil("Id: 3");
-    next.send(replyTo("3"));
-    cr_assert(findHeader(third.get().headers, "Id") == "3");
+    server.send(IdentifiedRequests::replyTo("1", "503 Busy"));
+    cr_assert_eq(first.get().httpStatus, 503);
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string copy = IdentifiedRequests::replyTo("1", "503 Busy");
+    int number = 2;
+    std::string previous = copy;
+    for (const std::string &ahead : {previous, interim + previous, previous + previous, previous + interim}) {
+        for (const std::size_t split : {std::size_t(0), ahead.size() / 2, ahead.size()}) {
+            const std::string id = std::to_string(number++);
+            std::future<ExchangeResult> result = requests.send(id);
+            server.readUntil("Id: " + id);
+            server.send(ahead.substr(0, split));
+            if (split > 0) {
+                std::this_thread::sleep_for(5ms);
+            }
+            server.send(ahead.substr(split) + IdentifiedRequests::replyTo(id));
+            const ExchangeResult exchange = result.get();
+            cr_assert(exchange.status == ExchangeStatus::Completed && exchange.httpStatus == 200 && exchange.body == id, "%s", id.c_str());
+            cr_assert_geq(exchange.skippedReplies, 1);
+            cr_assert_eq(requests.fixture.client.idleConnections(), 1);
+            // The next copies are of the first reply again.
+            std::future<ExchangeResult> again = requests.send("1");
+            server.readUntil("Id: 1");
+            server.send(copy);
+            cr_assert_eq(again.get().httpStatus, 503);
+        }
+    }
+}
+
+// Guards against the reply to another request being taken for the reply to this one, and against a connection that stays one reply
+// behind after it.
+Test(backend_client, a_connection_without_the_reply_to_its_request_is_not_used_again)
+{
+    const std::string own = IdentifiedRequests::replyTo("2");
+    const std::vector<std::pair<std::string, std::string>> replies{
+        {"of an unknown request", IdentifiedRequests::replyTo("0") + own},
+        {"without an id", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + own},
+        {"copies without end",
+         [] {
+             std::string copies;
+             for (int index = 0; index < 100; ++index) {
+                 copies += IdentifiedRequests::replyTo("1");
+             }
+             return copies;
+         }()},
+    };
+    for (const auto &[name, text] : replies) {
+        IdentifiedRequests requests;
+        std::future<ExchangeResult> first = requests.send("1");
+        PlainSocket server = requests.fixture.accept();
+        server.readUntil("Id: 1");
+        server.send(IdentifiedRequests::replyTo("1"));
+        cr_assert(first.get().status == ExchangeStatus::Completed && requests.fixture.client.idleConnections() == 1);
+        std::future<ExchangeResult> second = requests.send("2");
+        server.readUntil("Id: 2");
+        server.send(text);
+        cr_assert(second.get().status == ExchangeStatus::InvalidReply, "%s", name.c_str());
+        cr_assert_eq(requests.fixture.client.idleConnections(), 0);
+        std::future<ExchangeResult> third = requests.send("3");
+        PlainSocket next = requests.fixture.accept();
+        next.readUntil("Id: 3");
+        next.send(IdentifiedRequests::replyTo("3"));
+        cr_assert_eq(third.get().body, "3");
+    }
+}
+
+// Guards against waiting for a reply behind a copy after the server has closed the connection, and against calling it not sent.
+Test(backend_client, a_copy_of_the_reply_before_that_ends_the_connection_is_no_reply)
+{
+    IdentifiedRequests requests;
+    std::future<ExchangeResult> first = requests.send("1");
+    {
+        PlainSocket server = requests.fixture.accept();
+        server.readUntil("Id: 1");
+        server.send(IdentifiedRequests::replyTo("1"));
+        cr_assert(first.get().status == ExchangeStatus::Completed);
+        std::future<ExchangeResult> second = requests.send("2");
+        server.readUntil("Id: 2");
+        server.send("HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        server.socket.close();
+        cr_assert(second.get().status == ExchangeStatus::Lost);
+    }
+    cr_assert_eq(requests.fixture.client.idleConnections(), 0);
 }
 
 // Guards against ejecting a working server because one older connection to it stalled.
