Revert "Close the idle connection that a repetition can't use"

The servers of the case keep an extra reply by the address of their connection object; the closed connection's object is freed, the one of the new connection takes its place, and the copy goes out there.

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -168,13 +168,6 @@
                 return connection;
             }
         }
-        // Otherwise each repetition would add a connection, and servers reset those beyond their limit.
-        const auto carried = std::ranges::find_if(this->idle, [history](const std::shared_ptr<Connection> &connection) {
-            return history != nullptr && history->contains(connection->number);
-        });
-        if (carried != this->idle.end()) {
-            this->idle.erase(carried);
-        }
         return nullptr;
     }
 
