Don't merge a late reply to another query

What callers saw: the rows of another query in a complete answer (JSON interface).

Cause: each query numbered its subrequests from 1, and a reply is matched by this number alone. If a server sends a reply twice, the second copy arrives where the reply to the next query on the connection is due, with the same number.

Fix: a front numbers all its subrequests in one sequence, so a late reply has the number of no other subrequest. The number within the query stays inside.

Claimed executions use a new connection for each send and aren't affected.

--- a/src/galenawell/front/frontstate.cpp
+++ b/src/galenawell/front/frontstate.cpp
@@ -53,6 +53,11 @@
 {
 }
 
+std::uint64_t FrontState::nextSubrequestNumber()
+{
+    return ++this->subrequestNumber;
+}
+
 Incarnation FrontState::incarnation() const
 {
     return this->ownIncarnation;
--- a/src/galenawell/front/frontstate.h
+++ b/src/galenawell/front/frontstate.h
@@ -87,6 +87,9 @@
     // Expires leases, updates the confirmation and the number of live fronts, and publishes a new table after a change.
     void tick(TimePoint now);
 
+    // Unique among the subrequests of this process, so that a late reply isn't taken for the reply to another query.
+    std::uint64_t nextSubrequestNumber();
+
     Incarnation incarnation() const;
     const InstanceName &instance() const;
 
@@ -121,6 +124,7 @@
     RcuCell<RoutingTable> routing;
     std::atomic<std::int64_t> confirmedUntil{0};
     std::atomic<bool> isDraining{false};
+    std::atomic<std::uint64_t> subrequestNumber{0};
 
     // Guards the members below.
     std::mutex mutex;
--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -127,7 +127,7 @@
         co_return;
     }
     const SubrequestFields fields{.requestId = this->options.scatter.requestId,
-                                  .subrequestId = send.subrequestId,
+                                  .subrequestId = this->state.nextSubrequestNumber(),
                                   .service = this->options.service,
                                   .group = send.group,
                                   .snapshot = send.snapshot,
@@ -148,7 +148,7 @@
         co_return;
     }
     if (!this->outcome) {
-        this->handleResult(send.subrequestId, result);
+        this->handleResult(send.subrequestId, fields.subrequestId, result);
     }
 }
 
@@ -171,14 +171,14 @@
     co_return true;
 }
 
-void ScatterRun::handleResult(std::uint64_t subrequestId, const ExchangeResult &result)
+void ScatterRun::handleResult(std::uint64_t subrequestId, std::uint64_t sentId, const ExchangeResult &result)
 {
     const TimePoint now = MonotonicClock::now();
     if (result.status != ExchangeStatus::Completed) {
         this->perform(this->scatter.onFailure(subrequestId, failureFor(result), now));
         return;
     }
-    Result<ParsedReply> parsed = parseReply(result.httpStatus, result.body, subrequestId);
+    Result<ParsedReply> parsed = parseReply(result.httpStatus, result.body, sentId);
     if (!parsed) {
         this->perform(this->scatter.onFailure(subrequestId, SubrequestFailure{.reason = RetryReason::InvalidReply}, now));
         return;
@@ -188,7 +188,9 @@
             subrequestId, SubrequestFailure{.reason = *parsed.value().refusal, .countsAsReplicaFailure = false}, now));
         return;
     }
-    this->perform(this->scatter.onReply(std::move(*parsed.value().subreply), result.latency, parsed.value().load, now));
+    Subreply subreply = std::move(*parsed.value().subreply);
+    subreply.subrequestId = subrequestId;
+    this->perform(this->scatter.onReply(std::move(subreply), result.latency, parsed.value().load, now));
 }
 
 } // namespace Galenawell
--- a/src/galenawell/front/scatterrun.h
+++ b/src/galenawell/front/scatterrun.h
@@ -44,7 +44,8 @@
     Asio::awaitable<void>
     exchange(SubrequestSend send, ReplicaKey replica, Incarnation incarnation, std::shared_ptr<ExchangeHandle> handle);
     Asio::awaitable<bool> recordCrash(const ReplicaKey &replica, Incarnation incarnation);
-    void handleResult(std::uint64_t subrequestId, const ExchangeResult &result);
+    // The server knows the subrequest by `sentId`.
+    void handleResult(std::uint64_t subrequestId, std::uint64_t sentId, const ExchangeResult &result);
     void finish(ScatterOutcome result);
 
     ScatterRunOptions options;
