Don't keep a connection to a server whose reply can't be told from a late one

What callers saw: after a server sent one reply twice, the queries that followed on the connection failed one after the other (JSON interface), each with the reply to the query before; retries and hedges hid a part.

Cause: the id of a subrequest is in the body. The client put the connection back into the pool after any complete reply, before the body was read, so the connection stayed one reply behind. Routed requests were safe, as their id is in a header.

Fix: the client reads the id of the subrequest from the body, as it does from the header of a routed reply: a copy of the reply before is skipped, and after any other reply without the id the connection is closed. The body is parsed once, and what was parsed is what the query gets.

--- a/src/galenawell/front/scatterrun.cpp
+++ b/src/galenawell/front/scatterrun.cpp
@@ -1,7 +1,5 @@
 #include "galenawell/front/scatterrun.h"
 
-#include "galenawell/front/subrequestcodec.h"
-
 namespace Galenawell {
 
 SubrequestFailure failureFor(const ExchangeResult &result)
@@ -135,7 +133,15 @@
                                   .body = this->options.body};
     ExchangeRequest request{
         .address = replica.address, .target = "/v1/subrequest", .body = encodeSubrequest(fields), .expiry = send.expiry};
+    std::optional<ParsedReply> reply;
+    request.id = std::to_string(fields.subrequestId);
+    request.readId = [&reply](const ExchangeResult &read) {
+        Result<ParsedReply> parsed = parseReply(read.httpStatus, read.body);
+        reply = parsed ? std::optional(std::move(parsed).value()) : std::nullopt;
+        return reply ? std::to_string(reply->subrequestId) : std::string();
+    };
     const ExchangeResult result = co_await this->client.exchange(std::move(request), handle);
+    this->metrics.count(CounterName::SkippedReplies, result.skippedReplies);
     if (suspect) {
         this->state.releaseSuspect(replica, this->options.digest);
     }
@@ -148,7 +154,7 @@
         co_return;
     }
     if (!this->outcome) {
-        this->handleResult(send.subrequestId, fields.subrequestId, result);
+        this->handleResult(send.subrequestId, result, std::move(reply));
     }
 }
 
@@ -171,26 +177,20 @@
     co_return true;
 }
 
-void ScatterRun::handleResult(std::uint64_t subrequestId, std::uint64_t sentId, const ExchangeResult &result)
+void ScatterRun::handleResult(std::uint64_t subrequestId, const ExchangeResult &result, std::optional<ParsedReply> reply)
 {
     const TimePoint now = MonotonicClock::now();
-    if (result.status != ExchangeStatus::Completed) {
+    if (result.status != ExchangeStatus::Completed || !reply) {
         this->perform(this->scatter.onFailure(subrequestId, failureFor(result), now));
         return;
     }
-    Result<ParsedReply> parsed = parseReply(result.httpStatus, result.body, sentId);
-    if (!parsed) {
-        this->perform(this->scatter.onFailure(subrequestId, SubrequestFailure{.reason = RetryReason::InvalidReply}, now));
-        return;
-    }
-    if (parsed.value().refusal) {
-        this->perform(this->scatter.onFailure(
-            subrequestId, SubrequestFailure{.reason = *parsed.value().refusal, .countsAsReplicaFailure = false}, now));
+    if (reply->refusal) {
+        this->perform(
+            this->scatter.onFailure(subrequestId, SubrequestFailure{.reason = *reply->refusal, .countsAsReplicaFailure = false}, now));
         return;
     }
-    Subreply subreply = std::move(*parsed.value().subreply);
-    subreply.subrequestId = subrequestId;
-    this->perform(this->scatter.onReply(std::move(subreply), result.latency, parsed.value().load, now));
+    reply->subreply->subrequestId = subrequestId;
+    this->perform(this->scatter.onReply(std::move(*reply->subreply), result.latency, reply->load, now));
 }
 
 } // namespace Galenawell
--- a/src/galenawell/front/scatterrun.h
+++ b/src/galenawell/front/scatterrun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "galenawell/front/frontstate.h"
+#include "galenawell/front/subrequestcodec.h"
 #include "galenawell/query/scatter.h"
 #include "galenawell/transport/backendclient.h"
 
@@ -44,8 +45,8 @@
     Asio::awaitable<void>
     exchange(SubrequestSend send, ReplicaKey replica, Incarnation incarnation, std::shared_ptr<ExchangeHandle> handle);
     Asio::awaitable<bool> recordCrash(const ReplicaKey &replica, Incarnation incarnation);
-    // The server knows the subrequest by `sentId`.
-    void handleResult(std::uint64_t subrequestId, std::uint64_t sentId, const ExchangeResult &result);
+    // A completed exchange has a reply to the subrequest.
+    void handleResult(std::uint64_t subrequestId, const ExchangeResult &result, std::optional<ParsedReply> reply);
     void finish(ScatterOutcome result);
 
     ScatterRunOptions options;
--- a/src/galenawell/front/subrequestcodec.cpp
+++ b/src/galenawell/front/subrequestcodec.cpp
@@ -118,6 +118,15 @@
 }
 
 Result<ParsedReply> parseReply(unsigned httpStatus, const std::string &body, std::uint64_t expectedId)
+{
+    Result<ParsedReply> parsed = parseReply(httpStatus, body);
+    if (parsed && parsed.value().subrequestId != expectedId) {
+        return makeError(ErrorKind::InvalidReply, "the reply has another subrequest id");
+    }
+    return parsed;
+}
+
+Result<ParsedReply> parseReply(unsigned httpStatus, const std::string &body)
 {
     const nlohmann::json document = nlohmann::json::parse(body, nullptr, false);
     if (!document.is_object()) {
@@ -125,9 +134,7 @@
     }
     ParsedReply parsed;
     try {
-        if (readCount(document, "subrequestId") != expectedId) {
-            return makeError(ErrorKind::InvalidReply, "the reply has another subrequest id");
-        }
+        parsed.subrequestId = readCount(document, "subrequestId");
         parsed.load = readLoad(document);
         if (httpStatus == httpUnavailable) {
             parsed.refusal = readRefusal(document);
--- a/src/galenawell/front/subrequestcodec.h
+++ b/src/galenawell/front/subrequestcodec.h
@@ -29,6 +29,7 @@
 
 struct ParsedReply
 {
+    std::uint64_t subrequestId = 0;
     // Present for a reply with content.
     std::optional<Subreply> subreply;
     // Present if the reply states that the subrequest has not run.
@@ -36,7 +37,9 @@
     LoadReport load;
 };
 
-// Returns an error for a reply that is incomplete, violates the protocol or has another subrequest id.
+// Returns an error for a reply that is incomplete or violates the protocol.
+Result<ParsedReply> parseReply(unsigned httpStatus, const std::string &body);
+// Also for a reply that has another subrequest id.
 Result<ParsedReply> parseReply(unsigned httpStatus, const std::string &body, std::uint64_t expectedId);
 
 } // namespace Galenawell
--- a/tests/unit/front/test_scatterrun.cpp
+++ b/tests/unit/front/test_scatterrun.cpp
@@ -93,3 +93,33 @@
     server.socket.close();
     cr_assert_eq(QueriedPool::rowOf(second.get()), "");
 }
+
+// Guards against a connection that stays one reply behind after a reply that came twice: each query that follows would fail.
+Test(scatterrun, the_reply_behind_a_late_one_is_merged)
+{
+    QueriedPool pool;
+    std::future<ScatterOutcome> first = pool.query("q1");
+    PlainSocket server(pool.acceptor.accept());
+    const std::string reply = QueriedPool::replyToNext(server);
+    server.send(reply);
+    cr_assert_eq(QueriedPool::rowOf(first.get()), "q1");
+    std::future<ScatterOutcome> second = pool.query("q2");
+    const std::string own = QueriedPool::replyToNext(server);
+    server.send(reply + own);
+    cr_assert_eq(QueriedPool::rowOf(second.get()), "q2");
+    cr_assert_eq(pool.client.idleConnections(), 1);
+}
+
+// Guards against using a connection again after a reply that can't be read: the reply to the query may still be due on it.
+Test(scatterrun, a_connection_with_an_unreadable_reply_is_not_used_again)
+{
+    QueriedPool pool;
+    std::future<ScatterOutcome> first = pool.query("q1");
+    PlainSocket server(pool.acceptor.accept());
+    QueriedPool::replyToNext(server);
+    pool.acceptor.close();
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+    cr_assert_eq(QueriedPool::rowOf(first.get()), "");
+    cr_assert_eq(pool.client.idleConnections(), 0);
+    cr_assert(server.readAll().empty());
+}
