Keep repetitions within the share of a server's connections

What callers would see: with a server near its connection limit, a repetition of a rejected request meets a reset, and one that isn't idempotent gets a 502. Inferred from the protocol (a server resets connections beyond its limit); no run showed it.

Cause: a repetition doesn't use the connection that carried the rejection, so it opens another one while the first stays idle, when the server is full and takes fewer connections.

Fix: if the front has its share of idle connections to the server already, and all of them have carried the request, the new connection replaces one of them.

--- a/src/galenawell/transport/backendclient.cpp
+++ b/src/galenawell/transport/backendclient.cpp
@@ -168,9 +168,22 @@
                 return connection;
             }
         }
+        if (history != nullptr && this->idle.size() >= this->minimumIdle) {
+            this->closeCarried(*history);
+        }
         return nullptr;
     }
 
+    // Servers reset connections beyond their limit, so the new connection of a repetition replaces one that it can't use.
+    void closeCarried(const ConnectionHistory &history)
+    {
+        const auto carried = std::ranges::find_if(
+            this->idle, [&history](const std::shared_ptr<Connection> &connection) { return history.contains(connection->number); });
+        if (carried != this->idle.end()) {
+            this->idle.erase(carried);
+        }
+    }
+
     void noteReply(std::uint64_t connectionNumber, TimePoint now)
     {
         if (connectionNumber >= this->newestRepliedNumber) {
--- a/tests/unit/transport/test_backendclient.cpp
+++ b/tests/unit/transport/test_backendclient.cpp
@@ -161,6 +161,28 @@
     cr_assert_eq(repeated.get().httpStatus, 200);
 }
 
+// Guards against one more open connection for each repetition of a rejected request: servers reset those beyond their limit.
+Test(backend_client, repetitions_do_not_keep_more_idle_connections_than_the_minimum)
+{
+    constexpr std::size_t minimumIdle = 2;
+    ClientFixture fixture;
+    const auto history = std::make_shared<ConnectionHistory>();
+    std::vector<PlainSocket> servers;
+    for (std::size_t attempt = 1; attempt <= 4; ++attempt) {
+        ExchangeRequest request{
+            .address = toString(fixture.acceptor.local_endpoint()), .target = "/", .expiry = MonotonicClock::now() + generousTimeout};
+        request.history = history;
+        request.minimumIdle = minimumIdle;
+        std::future<ExchangeResult> result
+            = fixture.ioThread.start(fixture.client.exchange(std::move(request), std::make_shared<ExchangeHandle>()));
+        servers.push_back(fixture.accept());
+        servers.back().readUntil("\r\n\r\n");
+        servers.back().send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        cr_assert_eq(result.get().httpStatus, 503);
+        cr_assert_eq(fixture.client.idleConnections(), std::min(attempt, minimumIdle), "attempt %zu", attempt);
+    }
+}
+
 // Guards against a connection that remembers each rejected request it has carried: its memory, and the time to search it, would grow
 // with the traffic.
 Test(backend_client, rejected_requests_leave_nothing_on_a_kept_connection)
