--- a/tests/unit/front/test_scatterrun.cpp
+++ b/tests/unit/front/test_scatterrun.cpp
@@ -61,6 +61,17 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // Returns the server's end of the connection, which is idle now, and the reply.
+    std::pair<PlainSocket, std::string> answerFirstQuery()
+    {
+        std::future<ScatterOutcome> outcome = this->query("q1");
+        PlainSocket server(this->acceptor.accept());
+        std::string reply = replyToNext(server);
+        server.send(reply);
+        cr_assert_eq(rowOf(outcome.get()), "q1");
+        return {std::move(server), std::move(reply)};
+    }
+
     static std::string rowOf(const ScatterOutcome &outcome)
     {
         return outcome.answer && outcome.answer->rows.size() == 1 ? outcome.answer->rows.front().key : std::string();
@@ -82,11 +93,7 @@
 Test(scatterrun, a_late_reply_to_another_query_is_not_merged)
 {
     QueriedPool pool;
-    std::future<ScatterOutcome> first = pool.query("q1");
-    PlainSocket server(pool.acceptor.accept());
-    const std::string reply = QueriedPool::replyToNext(server);
-    server.send(reply);
-    cr_assert_eq(QueriedPool::rowOf(first.get()), "q1");
+    auto [server, reply] = pool.answerFirstQuery();
     std::future<ScatterOutcome> second = pool.query("q2");
     QueriedPool::replyToNext(server);
     server.send(reply);
@@ -98,11 +105,7 @@
 Test(scatterrun, the_reply_behind_a_late_one_is_merged)
 {
     QueriedPool pool;
-    std::future<ScatterOutcome> first = pool.query("q1");
-    PlainSocket server(pool.acceptor.accept());
-    const std::string reply = QueriedPool::replyToNext(server);
-    server.send(reply);
-    cr_assert_eq(QueriedPool::rowOf(first.get()), "q1");
+    auto [server, reply] = pool.answerFirstQuery();
     std::future<ScatterOutcome> second = pool.query("q2");
     const std::string own = QueriedPool::replyToNext(server);
     server.send(reply + own);
