End the io thread of the JSON query tests before the runs whose timers it drives

The fixture now stops its thread and destroys the runs first; the assertions are the same. The product is not affected: a front's runs end before its context.

--- a/tests/unit/front/test_scatterrun.cpp
+++ b/tests/unit/front/test_scatterrun.cpp
@@ -31,6 +31,11 @@
         this->table = std::make_shared<const RoutingTable>(std::move(tables));
     }
 
+    ~QueriedPool()
+    {
+        this->ioThread.stop();
+    }
+
     std::future<ScatterOutcome> query(const std::string &id)
     {
         ScatterRunOptions options{.scatter = {.requestId = id, .deadline = MonotonicClock::now() + 5s}, .service = "pool", .body = id};
@@ -82,9 +87,10 @@
     std::shared_ptr<Metrics> metrics = std::make_shared<Metrics>("front-1");
     FrontState state{ProcessSettings{}, 1, this->metrics};
     std::shared_ptr<const RoutingTable> table;
-    std::vector<std::shared_ptr<ScatterRun>> runs;
     IoThread ioThread;
     BackendClient client{this->ioThread.context.get_executor()};
+    // Their timers belong to the context of the thread.
+    std::vector<std::shared_ptr<ScatterRun>> runs;
 };
 
 } // namespace
