--- a/tests/process/platform/unreliableserver.cpp
+++ b/tests/process/platform/unreliableserver.cpp
@@ -35,12 +35,6 @@
     ++this->records[requestId].runs;
 }
 
-void RunBook::addRejection(const std::string &requestId)
-{
-    const std::lock_guard lock(this->mutex);
-    ++this->records[requestId].rejections;
-}
-
 void RunBook::addReply(const std::string &requestId)
 {
     const std::lock_guard lock(this->mutex);
@@ -187,7 +181,6 @@
 Asio::awaitable<bool> UnreliableServer::sendReply(std::shared_ptr<Connection> connection, std::string requestId)
 {
     if (this->happens(rejectionShare)) {
-        this->book.addRejection(requestId);
         const std::string status = this->happens(splitShare) ? "503 Busy" : "429 Busy";
         const std::string rejection = encodeReply(status, requestId, "Not-Executed: 1\r\n", "");
         connection->copy = this->happens(copyShare) ? rejection : "";
--- a/tests/process/platform/unreliableserver.h
+++ b/tests/process/platform/unreliableserver.h
@@ -15,7 +15,6 @@
 struct RunRecord
 {
     unsigned runs = 0;
-    unsigned rejections = 0;
     // The reply to a run was sent whole.
     bool replied = false;
 };
@@ -25,7 +24,6 @@
 {
 public:
     void addRun(const std::string &requestId);
-    void addRejection(const std::string &requestId);
     void addReply(const std::string &requestId);
     RunRecord find(const std::string &requestId) const;
 
