--- a/review/standin-3/harness.h
+++ b/review/standin-3/harness.h
@@ -475,7 +475,9 @@
             this->nodes.push_back(
                 {.name = "front-" + std::to_string(index), .ip = this->prefix + std::to_string(100 + index), .front = true});
         }
-        this->seedCount = std::min<std::size_t>(controls, 3);
+        for (std::size_t index = 1; index <= std::min<std::size_t>(controls, 3); ++index) {
+            this->seedNumbers.push_back(index);
+        }
     }
 
     ~Installation()
@@ -487,6 +489,12 @@
         std::filesystem::remove_all(this->folder, ignored);
     }
 
+    // Numbers of the control processes that the settings of later starts name.
+    void setSeeds(std::vector<std::size_t> numbers)
+    {
+        this->seedNumbers = std::move(numbers);
+    }
+
     // `first`: the whole system starts for the first time.
     void start(const std::string &name, bool first)
     {
@@ -647,7 +655,7 @@
     void writeSettings(const Node &node, bool first) const
     {
         std::string seeds;
-        for (std::size_t index = 1; index <= this->seedCount; ++index) {
+        for (const std::size_t index : this->seedNumbers) {
             seeds += (seeds.empty() ? "\"" : ",\"") + this->control(index) + "\"";
         }
         const auto listen = [&node](int port) { return node.ip + ":" + std::to_string(port); };
@@ -677,7 +685,7 @@
     std::string prefix;
     std::filesystem::path folder;
     std::vector<Node> nodes;
-    std::size_t seedCount = 0;
+    std::vector<std::size_t> seedNumbers;
 };
 
 // Renews the announcement of servers every 1,200 ms, at one control process as long as it answers.
