--- a/review/standin-3/lostleave.cpp
+++ b/review/standin-3/lostleave.cpp
@@ -7,6 +7,8 @@
 
 constexpr const char *desk = "drafting-desk";
 constexpr Milliseconds drainTime{3000};
+// Machines are in touch contact_ms, 4,000, after their start.
+constexpr Milliseconds settlingTime{6000};
 
 int run(Record &record)
 {
@@ -18,7 +20,7 @@
     auto *leaving = new Server({.service = desk, .identity = "i-desk-1"}, record);
     auto *staying = new Server({.service = desk, .identity = "i-desk-2"}, record);
     Announcer announcer(installation, {leaving, staying});
-    pause(Milliseconds(1000));
+    pause(settlingTime);
     for (int number = 0; leaving->runs().empty() && number < 50; ++number) {
         call(callerRequest(installation.front(1), "/drafting-desk/a", "before" + std::to_string(number)));
     }
