--- a/review/standin-3/startloss.cpp
+++ b/review/standin-3/startloss.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr const char *desk = "drafting-desk";
-// The core is stable this long after the loss.
+// The core is stable this long after the loss, or after the start of the replacement.
 constexpr Milliseconds contactTime{4000};
 constexpr Milliseconds acknowledgementTime{5000};
 constexpr Milliseconds observedTime{45000};
@@ -21,21 +21,21 @@
     }
     pause(Milliseconds(200));
     installation.start("control-3", true);
-    TimePoint lostAt = Clock::now();
+    TimePoint lastEvent = Clock::now();
     if (troubled()) {
         installation.kill("control-3");
-        lostAt = Clock::now();
         record.line("control-3 is gone for good");
         pause(replacementTime);
         installation.setSeeds({1, 2, 4});
         installation.start("control-4", false);
+        lastEvent = Clock::now();
     }
     auto *first = new Server({.service = desk, .identity = "i-desk-1"}, record);
     auto *second = new Server({.service = desk, .identity = "i-desk-2"}, record);
     const Announcer announcer(installation, {first, second});
     const std::string manifest = makeManifest({.services = {desk}, .kinds = {"safe"}});
     const bool acknowledged = installation.putManifest(manifest, observedTime);
-    const auto taken = std::chrono::duration_cast<Milliseconds>(Clock::now() - lostAt);
+    const auto taken = std::chrono::duration_cast<Milliseconds>(Clock::now() - lastEvent);
     int served = 0;
     for (int number = 0; number < 20; ++number) {
         const Message answer = call(
@@ -44,7 +44,7 @@
         record.line("a request was answered " + std::to_string(answer.status()) + " " + answer.body);
         pause(Milliseconds(200));
     }
-    record.line("after " + std::to_string(taken.count()) + " ms the first manifest is "
+    record.line("after " + std::to_string(taken.count()) + " ms from the last start the first manifest is "
                 + (acknowledged ? "acknowledged; " : "not acknowledged; ") + std::to_string(served) + " of 20 requests were served");
     for (const std::string name : {"control-1", "control-2", "front-1", "front-2", troubled() ? "control-4" : "control-3"}) {
         if (installation.hasEnded(name)) {
